Book the channel by proxies' answers instead of a guessed pace

Cause: marks cost a line a message that the book left out, and the pace was guessed from the first answers, so a slowing channel was believed too late. Now every push is marked and all that no proxy has answered for counts as still waiting. Also covers lost answers, proxies that stand still and any slow channel; it could harm where answers are slow though the channel is free, as pushes then wait.

--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -52,8 +52,7 @@
 CARRIED = 60  # judgements over which the most that a zone's servers carried is kept
 GROUP_STANDING = 2  # standing tables' worth of servers in a group: a heavy proxy overfills a smaller one
 MOVE_AT = 1.5  # share of load / share of weight past which a group gives up proxies (the design's)
-ANSWERS, SLOWEST = 5, 8.0  # answers to marks kept, and the slowest channel believed
-MARK_FROM = 200 * MS  # a channel that holds more than this is asked how fast it is: a line a proxy
+SEALS = 60_000  # marks are counted up to this and begin anew
 TICK = 100 * MS  # the timer chain's step while something is due
 
 
@@ -77,6 +76,7 @@
         self.zone, self.rate = zone, rate
         self.group = None  # the group of its zone that it is bound to
         self.messages = deque()  # when it was written to
+        self.unread = {}  # mark -> lines written under it that the proxy has not answered for
         self.arrived = {}  # operation -> last (invocations, span)
 
 
@@ -104,7 +104,7 @@
     def __init__(self, settings, seed):
         self.set, self.random = settings, random.Random(seed)
         self.servers, self.proxies = {}, {}
-        self.channel_free = 0  # when the channel will have sent all that was put in
+        self.unread = 0  # lines written that no proxy has answered for: the channel holds no more than these
         self.judged = self.armed = 0
         self.retry_at, self.retry_wait = 0 if settings.asks_list else None, S  # when to subscribe
         self.slices = {}
@@ -120,7 +120,7 @@
             self.tries = min(self.tries, 1)  # a try beyond the provably safe one could take effect twice
         self.tables, self.groups = [], dict.fromkeys(settings.zones, 0)
         self.shut = set()  # servers withdrawn because a proxy that was not bound yet might send there
-        self.seal, self.due, self.answers = 0, 0, deque([1.0], maxlen=ANSWERS)
+        self.seal = 0
         self.modes = set()  # what the staff were told is on
 
     def decide(self, now, calls, writer):
@@ -167,10 +167,12 @@
                 known.relist(entry)
 
     def joined(self, proxy, zone, rate, fresh):
+        self.left(proxy)
         self.proxies[proxy] = Proxy(zone, rate)
 
     def left(self, proxy):
-        self.proxies.pop(proxy, None)
+        if proxy in self.proxies:  # what waited for it is lost
+            self.unread -= sum(self.proxies.pop(proxy).unread.values())
 
     def met(self, zone, server, tries, errored, took, span, load):
         if server in self.servers:
@@ -183,9 +185,10 @@
             self.proxies[proxy].arrived.setdefault(operation, deque(maxlen=4)).append((invs, span))
 
     def applied(self, proxy, seal, took):
-        """A mark's answer tells how many times slower than stated the channel is."""
-        if seal == self.seal and self.due:
-            self.answers.append(min(max((took - self.set.way_most) / self.due, 1.0), SLOWEST))
+        """A proxy has read the message of this mark and all before it."""
+        unread = self.proxies[proxy].unread if proxy in self.proxies else {}
+        while seal in unread:
+            self.unread -= unread.pop(next(iter(unread)))
 
     def woke(self, token):
         self.armed = 0
@@ -402,18 +405,13 @@
 
     # -- the push job
 
-    def pace(self):
-        """Lines a second of the channel, by what marks told of late."""
-        return self.set.channel_pace / median(self.answers)
-
-    def backlog(self):
-        """Lines that the channel still holds, by our own book."""
-        return max(self.channel_free - self.now, 0) / S * self.pace()
-
     def room(self, proxies, lines, gate, spare):
-        """Whether a push of so many lines to these proxies keeps the channel and their allowances."""
-        new = sum(lines + (0 if p in self.touched else self.set.message_lines) for p in proxies)
-        if self.backlog() + sum(self.touched.values()) + new > gate * self.set.channel_limit:
+        """Whether a push of so many lines to these proxies keeps the channel and their allowances.
+
+        The channel's pace is never guessed: all that was not answered for counts as still waiting, so a
+        slow channel, a lost answer or a proxy that stands still holds pushes back and breaks no limit."""
+        new = sum(lines + (0 if p in self.touched else self.set.message_lines + 1) for p in proxies)
+        if self.unread + new > gate * self.set.channel_limit:
             return False
         for p in proxies if self.set.message_limit else ():
             sent = self.proxies[p].messages
@@ -425,7 +423,9 @@
 
     def touch(self, proxies, lines):
         for p in proxies:
-            self.touched[p] = self.touched.get(p, self.set.message_lines) + lines
+            new = lines + (0 if p in self.touched else self.set.message_lines + 1)  # a head, and the mark
+            self.touched[p] = self.touched.get(p, 0) + new
+            self.unread += new
 
     def demand(self, proxy):
         """Invocations a second that came to a proxy of late; before any report, what it said at joining."""
@@ -460,14 +460,11 @@
         self.shut_out()
         if not self.touched:
             return
-        took = int(sum(self.touched.values()) / self.pace() * S)
-        self.channel_free = max(self.channel_free, self.now) + took
-        for p in self.touched:
+        self.seal = self.seal % SEALS + 1
+        self.out.mark(self.seal, False)
+        for p, lines in self.touched.items():
             self.proxies[p].messages.append(self.now)
-        if self.channel_free - self.now > MARK_FROM:
-            self.seal = self.seal % 1000 + 1
-            self.due = (self.channel_free - self.now) * self.pace() / self.set.channel_pace
-            self.out.mark(self.seal, False)
+            self.proxies[p].unread[self.seal] = lines
 
     def bind_waiting(self):
         """Bind proxies that wait, the busiest first, each to the group of its zone with most room."""
