--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -31,7 +31,6 @@
 BORROW_UP, BORROW_DOWN = 0.6, 0.05  # parts of its way that borrowing goes in a judgement: causes tend to stay
 TUNED = (0.25, 1.3)  # bounds of the correction by measured time: deeper cuts come back too slowly
 WORTH_SENDING, LEVEL_WORTH = 0.12, 0.04  # a weight or level that moves by less than this part stays as sent
-CUT = 0.5  # a weight that falls under this part of itself goes out at once: restarts, mostly
 RETURN = 1.15  # no evidence is not good evidence: a cut weight without tries grows by this until it has some
 PRESSED, BY_PRICE = 0.12, 0.6  # time / objective from which a zone borrows: later by the crossing's price
 BORROW_POWER = 1.5  # little at first: on calm days work stays in its zone
@@ -75,6 +74,7 @@
     def __init__(self, zone, rate):
         self.zone, self.rate = zone, rate
         self.group = None  # the group of its zone that it is bound to
+        self.waits = True  # for a bind: until then a proxy that moves holds its old group's tables
         self.messages = deque()  # when it was written to
         self.unread = {}  # mark -> lines written under it that the proxy has not answered for
         self.arrived = {}  # operation -> last (invocations, span)
@@ -92,10 +92,12 @@
         self.level, self.tries = 1.0, tries
         self.levels = deque(maxlen=LEVEL_LAG)  # of the last judgements, with what arrived a second then
 
-    def change(self):
-        """The lines that a push must carry; weight 0 takes one away."""
+    def change(self, urgent):
+        """The lines that a push must carry, or its urgent ones alone; weight 0 takes one away."""
         names = sorted(self.sent.keys() | self.want.keys())
-        return {n: self.want.get(n, 0) for n in names if self.want.get(n) != self.sent.get(n)}
+        lines = {n: self.want.get(n, 0) for n in names if self.want.get(n) != self.sent.get(n)}
+        out = {n: w for n, w in lines.items() if not w}
+        return out if urgent and self.sent.keys() - out.keys() - {LEVEL} else lines  # never left empty
 
 
 class Planner:
@@ -349,7 +351,7 @@
         """By group of a zone: the load of its proxies here, and its weight."""
         loads = [[0.0, 0.0] for _ in range(self.groups[zone])]
         for proxy in self.proxies.values():
-            if proxy.zone == zone and proxy.group is not None:
+            if proxy.zone == zone and not proxy.waits:
                 loads[proxy.group][0] += self.demand(proxy)
         for server in self.servers.values():
             if server.zone == zone and server.state == "ready":
@@ -365,11 +367,12 @@
                 excess = load - total * weight / max(weights, 0.001)
                 if len(loads) == 1 or load <= MOVE_AT * (load - excess):
                     continue
-                mine = [p for p, proxy in self.proxies.items() if (proxy.zone, proxy.group) == (zone, group)]
+                mine = [p for p, x in self.proxies.items()
+                        if (x.zone, x.group) == (zone, group) and not x.waits]
                 for p in sorted(mine, key=lambda p: (self.demand(self.proxies[p]), p)):
                     excess -= self.demand(self.proxies[p])
                     if excess >= 0:
-                        self.proxies[p].group = None  # bound again below, to the group with most room
+                        self.proxies[p].waits = True  # bound again below, to the group with most room
 
     def lay_out(self):
         """Work out each table's lines; a change that matters starts or widens its waiting push."""
@@ -397,7 +400,6 @@
                 old = table.want.get(name)
                 worth = LEVEL_WORTH if name == LEVEL else WORTH_SENDING
                 if old is None or abs(weight - old) > worth * abs(old):
-                    table.urgent |= old is not None and name != LEVEL and weight < CUT * old
                     table.want[name] = round(weight, 4) or 0.0001
             if table.want != before:
                 table.first = self.now if table.first is None else table.first
@@ -443,19 +445,12 @@
             # the tables of a group go to the same proxies: one message for both
             bound = [p for p, proxy in self.proxies.items() if (proxy.zone, proxy.group) == (zone, group)]
             tables = [t for t in self.tables if (t.zone, t.group) == (zone, group) and t.first is not None]
-            urgent = any(t.urgent for t in tables)
             due = any(self.now - t.pushed >= TABLE_EVERY
                       and (self.now - t.last >= QUIET or self.now - t.first >= QUIET_CAP) for t in tables)
-            if not tables or bound and not (urgent or due):
-                continue
-            changes = [t.change() for t in tables]
-            gate, spare = (URGENT_GATE, 1.0) if urgent else (GATE, SPARE_MESSAGES)
-            lines = sum(len(change) for change in changes)
-            if not self.room(bound, lines, gate, spare):
-                continue
-            for table, change in zip(tables, changes, strict=True):
-                self.write(table, change)
-            self.touch(bound, lines)
+            if any(t.urgent for t in tables):
+                self.send(tables, bound, True, URGENT_GATE, 1.0)
+            if due or not bound:
+                self.send(tables, bound, False, GATE, SPARE_MESSAGES)
         self.bind_waiting()
         self.shut_out()
         if not self.touched:
@@ -466,9 +461,17 @@
             self.proxies[p].messages.append(self.now)
             self.proxies[p].unread[self.seal] = lines
 
+    def send(self, tables, bound, urgent, gate, spare):
+        changes = [t.change(urgent) for t in tables]
+        lines = sum(len(change) for change in changes)
+        if not lines or self.room(bound, lines, gate, spare):
+            for table, change in zip(tables, changes, strict=True):
+                self.write(table, change, urgent)
+            self.touch(bound if lines else (), lines)
+
     def bind_waiting(self):
         """Bind proxies that wait, the busiest first, each to the group of its zone with most room."""
-        waiting = [p for p, x in self.proxies.items() if x.group is None and self.groups.get(x.zone)]
+        waiting = [p for p, x in self.proxies.items() if x.waits and self.groups.get(x.zone)]
         by_zone = {zone: self.loads(zone) for zone in self.groups} if waiting else {}
         for p in sorted(waiting, key=lambda p: (-self.demand(self.proxies[p]), p)):
             proxy = self.proxies[p]
@@ -481,7 +484,7 @@
             for t in tables:
                 self.out.bind(p, t.number, t.mask)
                 self.touch([p], 1 + len(t.sent))
-            proxy.group = best
+            proxy.group, proxy.waits = best, False
             loads[best][0] += self.demand(proxy)
 
     def shut_out(self):
@@ -495,14 +498,17 @@
                 self.touch(self.proxies, 1)
                 (self.shut.add if out else self.shut.remove)(name)
 
-    def write(self, table, change):
+    def write(self, table, change, urgent):
         for name, weight in sorted(change.items(), key=lambda c: c[1] == 0):  # never empty in between
             if name == LEVEL:
                 level = abs(weight) if self.set.admission == "share" else NO_RATE
                 self.out.admit(table.number, 0, level, self.tries if weight > 0 else 0)
             else:
                 self.out.line(table.number, name, weight)
-        table.sent, table.first, table.urgent, table.pushed = dict(table.want), None, False, self.now
+        table.sent = {n: w for n, w in (table.sent | change).items() if w}
+        table.urgent = False
+        if not urgent:
+            table.first, table.pushed = None, self.now
 
     def arm(self):
         """Keep the one timer chain going while something is due."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -222,13 +222,31 @@
     made = bench(standing=1)
     made.start(east=4, west=0, proxies=("east",) * 4)
     for number, proxy in made.planner.proxies.items():
-        proxy.group, proxy.rate = 0, (40.0, 10.0, 9.0, 1.0)[number]
+        proxy.group, proxy.waits, proxy.rate = 0, False, (40.0, 10.0, 9.0, 1.0)[number]
     made.planner.now, made.planner.out = made.now, None
     made.planner.move()
-    left = [number for number, proxy in made.planner.proxies.items() if proxy.group is None]
+    left = [number for number, proxy in made.planner.proxies.items() if proxy.waits]
     assert left == [1, 2, 3]
 
 
+def test_proxy_that_moves_is_booked_at_its_old_group_until_bound(started):
+    """It holds the old tables: lines written to them reach it, and left out they overfill the channel."""
+    started.planner.proxies[0].waits = True
+    started.turn(("listed", ("changes", [started.server("e0", state="draining")])))
+    assert 0 in started.planner.touched
+
+
+def test_drain_does_not_wait_for_room_for_the_lines_beside_it(bench):
+    made = bench(channel_limit=100.0)
+    made.start(east=12, proxies=("east",))
+    made.run(3, CALM)
+    made.planner.proxies[0].unread, made.planner.unread = {9999: 70}, 70
+    for server in made.planner.servers.values():
+        server.tuned = 1.3
+    out = made.turn(("listed", ("changes", [made.server("e0", state="draining")])))
+    assert [(server, weight) for _, server, weight in out.of("line")] == [("e0", 0)]
+
+
 def test_work_that_may_not_repeat_gets_no_risky_further_try(bench):
     risky = replace(operation("pay"), repeats="side-effecting")
     out = bench(operations=(operation("read"), risky), usual_tries=2).start()
