--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -31,6 +31,7 @@
 BORROW_UP, BORROW_DOWN = 0.6, 0.05  # parts of its way that borrowing goes in a judgement: causes tend to stay
 TUNED = (0.25, 1.3)  # bounds of the correction by measured time: deeper cuts come back too slowly
 WORTH_SENDING, LEVEL_WORTH = 0.12, 0.04  # a weight or level that moves by less than this part stays as sent
+CUT = 0.5  # a weight that falls under this part of itself goes out at once: restarts, mostly
 RETURN = 1.15  # no evidence is not good evidence: a cut weight without tries grows by this until it has some
 PRESSED, BY_PRICE = 0.12, 0.6  # time / objective from which a zone borrows: later by the crossing's price
 BORROW_POWER = 1.5  # little at first: on calm days work stays in its zone
@@ -96,8 +97,9 @@
         """The lines that a push must carry, or its urgent ones alone; weight 0 takes one away."""
         names = sorted(self.sent.keys() | self.want.keys())
         lines = {n: self.want.get(n, 0) for n in names if self.want.get(n) != self.sent.get(n)}
-        out = {n: w for n, w in lines.items() if not w}
-        return out if urgent and self.sent.keys() - out.keys() - {LEVEL} else lines  # never left empty
+        out = {n: w for n, w in lines.items() if n != LEVEL and w < CUT * self.sent.get(n, 0)}
+        left = any(self.want.get(n) for n in self.sent.keys() - {LEVEL})  # a table is never left empty
+        return out if urgent and left else lines
 
 
 class Planner:
@@ -400,6 +402,7 @@
                 old = table.want.get(name)
                 worth = LEVEL_WORTH if name == LEVEL else WORTH_SENDING
                 if old is None or abs(weight - old) > worth * abs(old):
+                    table.urgent |= name != LEVEL and weight < CUT * table.sent.get(name, 0)
                     table.want[name] = round(weight, 4) or 0.0001
             if table.want != before:
                 table.first = self.now if table.first is None else table.first
