Where gone does not bind, keep a dropped server while its tries are answered

Cause: a list that calls half of the running servers gone; where only a drain binds, such a server may stay in the tables. It leaves when most of its tries fail as well, and a drain seen before binds as ever. Also covers a discovery that fell behind or restarted empty; it could harm by up to a report's delay when a server really went without a drain and without failing tries.

--- a/swiftchute/interface.py
+++ b/swiftchute/interface.py
@@ -61,6 +61,7 @@
     may_tell: bool
     ask_within: int | None
     drain_grace: int
+    gone_binds: bool  # false: a server that was dropped and did not drain may go on being sent to
     start_capacity: float
     warm_within: int
     fall_multiple: float
--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -63,9 +63,7 @@
         self.group = group  # its place in its zone's groups
         self.samples = deque(maxlen=SAMPLES)  # (time, tries, errored, mean time of the good ones)
         self.tuned = 1.0  # correction of the listed weight
-        self.relist(entry)
-
-    def relist(self, entry):
+        self.doubted = False  # dropped from a list that does not bind: its tries decide
         _, self.zone, _, _, self.state, self.weight, self.started = entry
 
 
@@ -160,15 +158,15 @@
         self.retry_wait = S
         if scope in ("whole", "held"):
             named = {e[0] for e in entries}
-            for name, server in self.servers.items():
-                if name not in named:
-                    server.state = "gone"
+            entries += [(n, s.zone, "", 0, "gone", s.weight, s.started)
+                        for n, s in self.servers.items() if n not in named]
         for entry in entries:
             known = self.servers.get(entry[0])
             if known is None or entry[6] != known.started:  # a restart: what was measured is void
                 self.servers[entry[0]] = Server(entry, known and known.group)
             else:
-                known.relist(entry)
+                known.doubted = entry[4] == "gone" and not self.set.gone_binds and known.state == "ready"
+                known.state, known.weight = "ready" if known.doubted else entry[4], entry[5]
 
     def joined(self, proxy, zone, rate, fresh):
         self.left(proxy)
@@ -236,6 +234,8 @@
         usual = median(f[2] for f in seen)
         for name, server in live.items():
             tries, errored, cost = figures[name]
+            if server.doubted and 2 * errored > tries:  # list and tries agree
+                server.state = "gone"
             if tries < ENOUGH:
                 server.tuned = max(server.tuned, min(server.tuned * RETURN, 1.0))
                 continue
--- a/swiftchute/wirehost/codec.py
+++ b/swiftchute/wirehost/codec.py
@@ -58,6 +58,7 @@
         may_tell=bool(permits["peer_messages"]),
         ask_within=None if ask is None else ask * US,
         drain_grace=rules["drain_grace_us"] * US,
+        gone_binds=not rules.get("removal_not_binding"),
         start_capacity=rules["start_capacity"],
         warm_within=rules["warm_within_us"] * US,
         fall_multiple=rules["fall_multiple"],
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -68,6 +68,17 @@
     assert back.of("withdraw") == [("e0", False)]
 
 
+def test_list_that_drops_servers_is_not_believed_against_their_answers(bench):
+    """Only a drain binds here: a dropped server leaves when its tries fail too, a drained one at once."""
+    made = bench(gone_binds=False)
+    made.start()
+    made.run(2, CALM)
+    made.turn(("listed", ("whole", [made.server(f"w{k}", "west") for k in range(4)])))
+    made.turn(("listed", ("changes", [made.server("e1", state="draining")])))
+    made.run(3, CALM | {"e0": (9, 9, 0)})
+    assert made.table().want.keys() - {LEVEL} == {"e2", "e3"}
+
+
 def test_zone_without_servers_uses_the_other(started):
     entries = [started.server(f"e{k}", state="gone") for k in range(4)]
     out = started.turn(("listed", ("changes", entries)))
