Let news of a server stand until the next is due

Cause: at size sums are given in turn, a server's come 2 to 9 seconds apart (tapped), and a fixed 3 s window saw many servers without any.

--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -61,7 +61,7 @@
 
     def __init__(self, entry, group=None):
         self.group = group  # its place in its zone's groups
-        self.samples = deque(maxlen=SAMPLES)  # (time, tries, errored, mean time of the good ones)
+        self.samples = deque(maxlen=SAMPLES)  # (time, tries, errored, mean time of the good ones, span)
         self.tuned = 1.0  # correction of the listed weight
         self.doubted = False  # dropped from a list that does not bind: its tries decide
         _, self.zone, _, _, self.state, self.weight, self.started = entry
@@ -177,10 +177,12 @@
             self.unread -= sum(self.proxies.pop(proxy).unread.values())
 
     def met(self, zone, server, tries, errored, took, span, load):
+        # large fleets are told of in turn: news stands until the next of its kind is due, a span later
+        sample = (self.now + span, tries, errored, took, span)
         if server in self.servers:
-            self.servers[server].samples.append((self.now, tries, errored, took))
+            self.servers[server].samples.append(sample)
         if zone in self.felt:
-            self.felt[zone].append((self.now, tries, errored, took, server))
+            self.felt[zone].append((*sample, server))
 
     def arrived(self, proxy, operation, invs, errored, span):
         if proxy in self.proxies:
@@ -203,12 +205,13 @@
     # -- health
 
     def figures(self, samples, fresh):
-        """Tries, errored and mean cost of a good answer (an errored try costs an objective) of late."""
-        tries = errored = spent = 0
-        for when, n, bad, took in samples:
+        """Tries, errored, mean cost of a good answer (an errored try costs an objective), span: of late."""
+        tries = errored = spent = spans = 0
+        for when, n, bad, took, span in samples:
             if self.now - when <= fresh:
                 tries, errored, spent = tries + n, errored + bad, spent + (n - bad) * took
-        return tries, errored, (spent + errored * self.objective) / max(tries - errored, 0.1)
+                spans += span
+        return tries, errored, (spent + errored * self.objective) / max(tries - errored, 0.1), spans
 
     def pressure(self, zone):
         """Cost of a good answer to the zone's proxies, as a part of the objective; None without news.
@@ -218,7 +221,7 @@
         for *sample, server in self.felt[zone]:
             by_server.setdefault(server, []).append(sample)
         figures = [self.figures(samples, FELT) for samples in by_server.values()]
-        costs = sorted((cost, tries) for tries, _, cost in figures)
+        costs = sorted((cost, tries) for tries, _, cost, _ in figures)
         passed = list(accumulate(tries for _, tries in costs))
         if not passed or passed[-1] < ENOUGH:
             return None
@@ -233,7 +236,7 @@
             return
         usual = median(f[2] for f in seen)
         for name, server in live.items():
-            tries, errored, cost = figures[name]
+            tries, errored, cost, _ = figures[name]
             if server.doubted and 2 * errored > tries:  # list and tries agree
                 server.state = "gone"
             if tries < ENOUGH:
@@ -250,8 +253,8 @@
             warm = [(n, s) for n, s in live.items() if s.zone == zone and not self.cold(s)]
             weight = sum(s.weight for _, s in warm)
             if weight:
-                good = sum(figures[n][0] - figures[n][1] for n, _ in warm)
-                self.carried[zone].append(good * S / FRESH / weight)
+                good = sum((figures[n][0] - figures[n][1]) * S / max(figures[n][3], 1) for n, _ in warm)
+                self.carried[zone].append(good / weight)
             felt = self.pressure(zone)
             if felt is not None:
                 over = felt - PRESSED - BY_PRICE * self.set.cross_price
