Let each group borrow its own part of the other zones' servers

Cause: at size every pressed zone put all other servers into all its tables: eighty lines a push to ninety proxies, and a new connection from every proxy to every server, each of which costs server work (thousands of failed connects a window). Also covers handshake storms at cold servers and crowded report lines; it could harm where one group alone is pressed and its part is sick.

--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -59,8 +59,8 @@
 class Server:
     """A listed server: what the list says, the last samples, and what follows from them."""
 
-    def __init__(self, entry, group=None):
-        self.group = group  # its place in its zone's groups
+    def __init__(self, entry, place, group=None):
+        self.place, self.group = place, group  # when it was first listed among all; its group in its zone
         self.samples = deque(maxlen=SAMPLES)  # (time, tries, errored, mean time of the good ones, span)
         self.tuned = 1.0  # correction of the listed weight
         self.doubted = False  # dropped from a list that does not bind: its tries decide
@@ -163,7 +163,8 @@
         for entry in entries:
             known = self.servers.get(entry[0])
             if known is None or entry[6] != known.started:  # a restart: what was measured is void
-                self.servers[entry[0]] = Server(entry, known and known.group)
+                place = known.place if known else len(self.servers)
+                self.servers[entry[0]] = Server(entry, place, known and known.group)
             else:
                 known.doubted = entry[4] == "gone" and not self.set.gone_binds and known.state == "ready"
                 known.state, known.weight = "ready" if known.doubted else entry[4], entry[5]
@@ -390,7 +391,10 @@
             alone = all(self.cold(ready[n]) for n in own)
             share = 1.0 if alone else self.borrow[table.zone]
             if not table.local and share > BORROW_LEAST:
-                others = [n for n in ready if n not in lines]
+                # to each group a part of them: connections and lines would grow as proxies times servers
+                parts, part = max(self.groups.values()), table.group + self.set.zones.index(table.zone)
+                abroad = [n for n, s in ready.items() if s.zone != table.zone]
+                others = [n for n in abroad if (ready[n].place - part) % parts == 0] or abroad
                 warm = [n for n in others if not self.cold(ready[n])]
                 lines |= {n: share * weights[n] for n in warm or (others if alone else ())}
             level = min(self.guard_cold(table, lines), table.level)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -90,6 +90,20 @@
     }
 
 
+def test_groups_borrow_parts_and_a_zone_without_servers_is_never_bare(bench):
+    """A large fleet: were all borrowed by all, connections would grow as proxies times servers."""
+    made = bench(standing=1)
+    made.start(east=8, west=8)
+    made.turn(("listed", ("changes", [made.server(f"e{k}", state="gone") for k in range(8)])))
+    borrowed = [t.want.keys() - {LEVEL} for t in made.planner.tables if t.zone == "east"]
+    assert [len(lines) for lines in borrowed] == [2, 2, 2, 2]
+    assert len(set.union(*borrowed)) == 8
+    left = {next(iter(borrowed[0]))}
+    gone = [made.server(f"w{k}", "west", "gone") for k in range(8) if f"w{k}" not in left]
+    made.turn(("listed", ("changes", gone)))
+    assert all(t.want.keys() - {LEVEL} == left for t in made.planner.tables)
+
+
 def test_operation_that_stays_at_home_gets_no_foreign_line(bench):
     made = bench(operations=(operation("read"), operation("write", own_zone=True)))
     made.start()
