Judge borrowing by way: none where a zone's proxies fare far worse than at home

Cause: a slow way between two zones made the borrowing zone look pressed, and it shed a third for 30 s; told from load by the zone's own servers, which answered in 0.2 s. Each pair of zones has its own part now, a way that costs 1.8 times the zone's usual rests for 12 s, and its tries tell nothing of the servers.

--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -21,7 +21,7 @@
 SPARE_MESSAGES = 0.6  # ordinary pushes use this part of a proxy's message allowance; the rest is for drains
 RAMP_FROM = 0.25  # a new server starts at this part of its weight (the design's quarter)
 RAMP_STEPS = 6  # coarse steps of the ramp: each costs a message to every proxy of the table
-SAMPLES, FRESH = 10, 3 * S  # reports kept of a server, and how old one may be and still count
+SAMPLES, FRESH = 10, 2500 * MS  # reports kept of a server; beyond its span one counts for so long
 ENOUGH = 6  # tries below which a server's figures are chance
 JUDGE_EVERY = 1 * S  # reports are a second or two late: judging more often acts twice on the same news
 FAR = 1.8  # a server that costs this many times the usual is in trouble: its weight goes down fast
@@ -38,7 +38,8 @@
 FULL_PRESS = 0.28  # and how much above that it borrows in full
 BORROW_LEAST = 0.05  # borrowing under this is not worth its lines
 BORROWED = 0.8  # levels wait until a zone borrows at least so much: other zones may have room
-FELT = 1500 * MS  # how far back a zone's pressure looks: levels need fresher news than weights
+FELT = 1 * S  # the same for a zone's pressure: levels need fresher news than weights
+REST = 12 * S  # a way that was found ill is not borrowed over again for so long
 SHED_AT, LET_AT = 0.4, 0.3  # mean time / objective above which levels fall, and below which they rise
 FLOOD = 1.0  # and above which tries and levels fall together: what is sent now will mostly be late
 LEVEL_LAG = 4  # judgements ago that the news tells of: a cut is reckoned from the level of then
@@ -61,7 +62,7 @@
 
     def __init__(self, entry, place, group=None):
         self.place, self.group = place, group  # when it was first listed among all; its group in its zone
-        self.samples = deque(maxlen=SAMPLES)  # (time, tries, errored, mean time of the good ones, span)
+        self.samples = deque(maxlen=SAMPLES)  # (time, tries, errored, mean time of the good ones, span, zone)
         self.tuned = 1.0  # correction of the listed weight
         self.doubted = False  # dropped from a list that does not bind: its tries decide
         _, self.zone, _, _, self.state, self.weight, self.started = entry
@@ -108,9 +109,12 @@
         self.servers, self.proxies = {}, {}
         self.unread = 0  # lines written that no proxy has answered for: the channel holds no more than these
         self.judged = self.armed = 0
+        self.pressed = dict.fromkeys(settings.zones)  # what a zone's proxies felt at home when last judged
         self.retry_at, self.retry_wait = 0 if settings.asks_list else None, S  # when to subscribe
         self.slices = {}
-        self.borrow = dict.fromkeys(settings.zones, 0.0)
+        ways = [(zone, other) for zone in settings.zones for other in settings.zones if other != zone]
+        self.borrow = dict.fromkeys(ways, 0.0)
+        self.rest = dict.fromkeys(ways, 0)  # until when an ill way is not borrowed over
         self.carried = {zone: deque(maxlen=CARRIED) for zone in settings.zones}  # a second, by unit of weight
         self.felt = {zone: deque(maxlen=200) for zone in settings.zones}  # what the proxies of a zone met
         # an operation a row: its bit, its objective, whether it stays in its zone, whether it may run again
@@ -179,11 +183,11 @@
 
     def met(self, zone, server, tries, errored, took, span, load):
         # large fleets are told of in turn: news stands until the next of its kind is due, a span later
-        sample = (self.now + span, tries, errored, took, span)
-        if server in self.servers:
-            self.servers[server].samples.append(sample)
-        if zone in self.felt:
-            self.felt[zone].append((*sample, server))
+        sample = (self.now + span, tries, errored, took, span, zone)
+        if server in self.servers and zone in self.felt:
+            self.felt[zone].append((server, sample))
+            if self.now >= self.rest.get((zone, self.servers[server].zone), 0):  # else it tells of the way
+                self.servers[server].samples.append(sample)
 
     def arrived(self, proxy, operation, invs, errored, span):
         if proxy in self.proxies:
@@ -208,19 +212,23 @@
     def figures(self, samples, fresh):
         """Tries, errored, mean cost of a good answer (an errored try costs an objective), span: of late."""
         tries = errored = spent = spans = 0
-        for when, n, bad, took, span in samples:
+        zones = set()
+        for when, n, bad, took, span, zone in samples:
             if self.now - when <= fresh:
                 tries, errored, spent = tries + n, errored + bad, spent + (n - bad) * took
                 spans += span
-        return tries, errored, (spent + errored * self.objective) / max(tries - errored, 0.1), spans
+                zones.add(zone)
+        cost = (spent + errored * self.objective) / max(tries - errored, 0.1)
+        return tries, errored, cost, spans / max(len(zones), 1)
 
-    def pressure(self, zone):
-        """Cost of a good answer to the zone's proxies, as a part of the objective; None without news.
+    def pressure(self, zone, at):
+        """Cost of a good answer to a zone's proxies at the zones `at`, by the objective; None without news.
 
         The middle one of its servers by tries: a few sick ones are the judge's matter, and no load."""
         by_server = {}
-        for *sample, server in self.felt[zone]:
-            by_server.setdefault(server, []).append(sample)
+        for server, sample in self.felt[zone]:
+            if self.servers[server].zone in at:
+                by_server.setdefault(server, []).append(sample)
         figures = [self.figures(samples, FELT) for samples in by_server.values()]
         costs = sorted((cost, tries) for tries, _, cost, _ in figures)
         passed = list(accumulate(tries for _, tries in costs))
@@ -256,19 +264,33 @@
             if weight:
                 good = sum((figures[n][0] - figures[n][1]) * S / max(figures[n][3], 1) for n, _ in warm)
                 self.carried[zone].append(good / weight)
-            felt = self.pressure(zone)
-            if felt is not None:
-                over = felt - PRESSED - BY_PRICE * self.set.cross_price
-                want = min(max(over / FULL_PRESS, 0.0), 1.0) ** BORROW_POWER
-                step = BORROW_UP if want > self.borrow[zone] else BORROW_DOWN
-                self.borrow[zone] += step * (want - self.borrow[zone])
-                mark = 1 - TOLD if f"borrowing {zone}" in self.modes else TOLD
-                self.mode(f"borrowing {zone}", self.borrow[zone] > mark, f"time {felt:.2f} of the objective")
+            at = [other for other in self.set.zones if self.now >= self.rest.get((zone, other), 0)]
+            felt = self.pressed[zone] = self.pressure(zone, at)
+            for other in self.set.zones if felt is not None else ():
+                if other != zone:
+                    self.judge_way((zone, other), felt)
+
+    def judge_way(self, way, felt):
+        """How much a pressed zone borrows of another: nothing where its proxies fare far worse than at home.
+
+        That covers a slow or lossy way, a zone that is itself flooded, and one whose servers are sick."""
+        there = self.pressure(way[0], way[1:])
+        if there is not None and there > FAR * max(felt, PRESSED):
+            self.rest[way] = self.now + REST
+        rests = self.now < self.rest[way]
+        over = felt - PRESSED - BY_PRICE * self.set.cross_price
+        want = 0.0 if rests else min(max(over / FULL_PRESS, 0.0), 1.0) ** BORROW_POWER
+        step = BORROW_UP if rests or want > self.borrow[way] else BORROW_DOWN
+        self.borrow[way] += step * (want - self.borrow[way])
+        told = f"borrowing {way[0]} from {way[1]}"
+        mark = 1 - TOLD if told in self.modes else TOLD
+        self.mode(told, self.borrow[way] > mark, f"time {felt:.2f} of the objective")
+        self.mode(f"way {way[0]} to {way[1]} rests", rests, f"time {felt:.2f} here, {there or 0:.2f} there")
 
     def levels(self):
         """Under pressure further tries go first, then levels; they come back in the opposite order."""
         for table in self.tables:
-            felt = self.pressure(table.zone)
+            felt = self.pressed[table.zone]
             if felt is None or self.set.admission != "share":
                 continue
             rate = max(self.arriving(table.zone), 0.1)
@@ -278,7 +300,9 @@
                 table.tries = 0  # tries at full servers would double a flood at its start
             elif table.level == 1:
                 table.tries = self.tries
-            if felt > FLOOD or felt > SHED_AT and (table.local or self.borrow[table.zone] > BORROWED):
+            spent = all(share > BORROWED or self.now < self.rest[way] for way, share in self.borrow.items()
+                        if way[0] == table.zone)
+            if felt > FLOOD or felt > SHED_AT and (table.local or spent):
                 least = let * max((SHED_AT / felt) ** LEVEL_POWER, LEVEL_DOWN)
                 table.level = min(table.level, max(least, LEVEL_LEAST))
             elif felt < LET_AT:
@@ -323,7 +347,7 @@
         rate = self.arriving(table.zone) * table.level
         may = {n: self.allowed(self.servers[n]) / max(rate, 0.1) for n in cold}
         total, warm = sum(may.values()), sum(w for n, w in lines.items() if n not in may)
-        if self.set.avoids_after and warm and (self.pressure(table.zone) or 0) > FLOOD:
+        if self.set.avoids_after and warm and (self.pressed[table.zone] or 0) > FLOOD:
             for name in may:  # proxies will soon avoid the failing others: a small line would be everything
                 del lines[name]
             return 1.0
@@ -389,14 +413,14 @@
             own = own or [n for n, s in ready.items() if s.zone == table.zone]
             lines = {n: weights[n] for n in own}
             alone = all(self.cold(ready[n]) for n in own)
-            share = 1.0 if alone else self.borrow[table.zone]
-            if not table.local and share > BORROW_LEAST:
-                # to each group a part of them: connections and lines would grow as proxies times servers
-                parts, part = max(self.groups.values()), table.group + self.set.zones.index(table.zone)
-                abroad = [n for n, s in ready.items() if s.zone != table.zone]
-                others = [n for n in abroad if (ready[n].place - part) % parts == 0] or abroad
-                warm = [n for n in others if not self.cold(ready[n])]
-                lines |= {n: share * weights[n] for n in warm or (others if alone else ())}
+            # to each group a part of the others: connections and lines would grow as proxies times servers
+            parts, part = max(self.groups.values()), table.group + self.set.zones.index(table.zone)
+            abroad = {n: 1.0 if alone else self.borrow[table.zone, s.zone]
+                      for n, s in ready.items() if s.zone != table.zone and not table.local}
+            mine = {n: share for n, share in abroad.items() if (ready[n].place - part) % parts == 0} or abroad
+            lent = {n: share * weights[n] for n, share in mine.items() if share > BORROW_LEAST}
+            warm = [n for n in lent if not self.cold(ready[n])]
+            lines |= {n: lent[n] for n in warm or (lent if alone else ())}
             level = min(self.guard_cold(table, lines), table.level)
             # what full servers turn away would be tried at cold ones: no further tries beside them
             tries = table.tries and not any(self.cold(self.servers[n]) for n in lines)
