Call a way ill only when even the better servers behind it look far worse

A slow or lossy way slows the better quarter too. It could miss an ill way to servers that are much faster than the zone's own.

--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -221,10 +221,10 @@
         cost = (spent + errored * self.objective) / max(tries - errored, 0.1)
         return tries, errored, cost, spans / max(len(zones), 1)
 
-    def pressure(self, zone, at):
+    def pressure(self, zone, at, part=0.5):
         """Cost of a good answer to a zone's proxies at the zones `at`, by the objective; None without news.
 
-        The middle one of its servers by tries: a few sick ones are the judge's matter, and no load."""
+        The middle one of the servers by tries: a few sick ones are the judge's matter, and no load."""
         by_server = {}
         for server, sample in self.felt[zone]:
             if self.servers[server].zone in at:
@@ -234,7 +234,7 @@
         passed = list(accumulate(tries for _, tries in costs))
         if not passed or passed[-1] < ENOUGH:
             return None
-        middle = next(k for k, upto in enumerate(passed) if 2 * upto >= passed[-1])
+        middle = next(k for k, upto in enumerate(passed) if upto >= part * passed[-1])
         return costs[middle][0] / self.objective
 
     def judge(self):
@@ -271,10 +271,10 @@
                     self.judge_way((zone, other), felt)
 
     def judge_way(self, way, felt):
-        """How much a pressed zone borrows of another: nothing where its proxies fare far worse than at home.
+        """How much a pressed zone borrows of another: nothing while its proxies fare far worse there.
 
-        That covers a slow or lossy way, a zone that is itself flooded, and one whose servers are sick."""
-        there = self.pressure(way[0], way[1:])
+        A slow or lossy way makes even the better servers behind it look bad; sick ones are but some."""
+        there = self.pressure(way[0], way[1:], 0.25)  # even its better servers
         if there is not None and there > FAR * max(felt, PRESSED):
             self.rest[way] = self.now + REST
         rests = self.now < self.rest[way]
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -308,3 +308,20 @@
     assert made.turn(("listed", ("held", entries)), *given).of("line") == []
     out = made.turn(("listed", ("changes", [made.server("e0", state="draining")])))
     assert out.of("line") == [(1, "e1", 1)]
+
+
+def test_slow_way_is_not_borrowed_over_and_is_no_load(bench):
+    """The servers behind it answer their own zone well; its tries tell neither of them nor of load."""
+    made = bench(zones=("east", "west", "south"))
+    made.turn(
+        ("listed", ("held", [made.server(f"{z[0]}{k}", z) for z in made.planner.set.zones for k in range(4)])),
+        ("joined", (0, "east", 10.0, True)),
+    )
+    for _ in range(16):
+        own = [("met", ("east", f"e{k}", 20, 0, S * 35 // 100, S // 2, None)) for k in range(4)]
+        far = [("met", ("east", f"w{k}", 20, 5, S * 16 // 10, S // 2, None)) for k in range(4)]
+        made.turn(*own, *far, wait=0.5)
+    want = made.table().want
+    assert {name[0] for name in want if name} == {"e", "s"}
+    assert want[LEVEL] == -1.0
+    assert made.planner.servers["w0"].tuned > 0.6
