--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -9,15 +9,14 @@
 
 import random
 from collections import deque
-from itertools import accumulate
+from itertools import accumulate, chain
 from statistics import median
 
 MS, S = 1_000_000, 1_000_000_000
 
 QUIET, QUIET_CAP = 200 * MS, 1 * S  # debounce: act after this much quiet, or after this wait at the latest
 TABLE_EVERY = 1 * S  # a table is pushed at most this often (drains and shut-outs excepted)
-GATE = 0.5  # the push job sends while the channel holds less than this part of its limit
-URGENT_GATE = 0.85  # drains and shut-outs may use this much: the limit itself breaks a rule
+GATE = 0.5  # the push job sends while the channel holds less than this part; drains may use all
 SPARE_MESSAGES = 0.6  # ordinary pushes use this part of a proxy's message allowance; the rest is for drains
 RAMP_FROM = 0.25  # a new server starts at this part of its weight (the design's quarter)
 RAMP_STEPS = 6  # coarse steps of the ramp: each costs a message to every proxy of the table
@@ -49,7 +48,7 @@
 NO_RATE = 1e6  # lets all in where levels are rates
 LEVEL = ""  # the key of a table's level among its lines; no server is called so
 SAFE = 0.4  # part of what the rule on cold servers lets through that a table plans for: speeds differ
-TOLD = 0.8  # staff hear of a weight cut under half of this, or of borrowing over it; its end comes later
+TOLD = 0.4, 0.8  # staff hear of a weight cut under the first, until it is back at the second
 CARRIED = 60  # judgements over which the most that a zone's servers carried is kept
 GROUP_STANDING = 2  # standing tables' worth of servers in a group: a heavy proxy overfills a smaller one
 MOVE_AT = 1.5  # share of load / share of weight past which a group gives up proxies (the design's)
@@ -116,7 +115,6 @@
         self.borrow = dict.fromkeys(ways, 0.0)
         self.rest = dict.fromkeys(ways, 0)  # until when an ill way is not borrowed over
         self.carried = {zone: deque(maxlen=CARRIED) for zone in settings.zones}  # a second, by unit of weight
-        self.felt = {zone: deque(maxlen=200) for zone in settings.zones}  # what the proxies of a zone met
         # an operation a row: its bit, its objective, whether it stays in its zone, whether it may run again
         self.operations = [(1 << k, op.objective, op.own_zone, op.repeats == "idempotent")
                            for k, op in enumerate(settings.operations)]
@@ -124,7 +122,8 @@
         self.tries = settings.usual_tries
         if not all(again for *_, again in self.operations):
             self.tries = min(self.tries, 1)  # a try beyond the provably safe one could take effect twice
-        self.tables, self.groups = [], dict.fromkeys(settings.zones, 0)
+        self.tables = {}  # (zone, group) -> its tables: for what may cross zones, and for what may not
+        self.groups = dict.fromkeys(settings.zones, 0)
         self.shut = set()  # servers withdrawn because a proxy that was not bound yet might send there
         self.seal = 0
         self.modes = set()  # what the staff were told is on
@@ -148,7 +147,9 @@
                 self.move()
             self.lay_out()
             self.push()
-        self.arm()
+        if not self.armed and (self.proxies or self.retry_at is not None):  # one chain of timers
+            self.armed = 1
+            writer.timer(TICK, 1)
 
     # -- what comes in
 
@@ -162,7 +163,7 @@
         self.retry_wait = S
         if scope in ("whole", "held"):
             named = {e[0] for e in entries}
-            entries += [(n, s.zone, "", 0, "gone", s.weight, s.started)
+            entries = [*entries] + [(n, s.zone, "", 0, "gone", s.weight, s.started)
                         for n, s in self.servers.items() if n not in named]
         for entry in entries:
             known = self.servers.get(entry[0])
@@ -183,11 +184,8 @@
 
     def met(self, zone, server, tries, errored, took, span, load):
         # large fleets are told of in turn: news stands until the next of its kind is due, a span later
-        sample = (self.now + span, tries, errored, took, span, zone)
-        if server in self.servers and zone in self.felt:
-            self.felt[zone].append((server, sample))
-            if self.now >= self.rest.get((zone, self.servers[server].zone), 0):  # else it tells of the way
-                self.servers[server].samples.append(sample)
+        if server in self.servers:
+            self.servers[server].samples.append((self.now + span, tries, errored, took, span, zone))
 
     def arrived(self, proxy, operation, invs, errored, span):
         if proxy in self.proxies:
@@ -209,28 +207,30 @@
 
     # -- health
 
-    def figures(self, samples, fresh):
-        """Tries, errored, mean cost of a good answer (an errored try costs an objective), span: of late."""
+    def rests(self, way):
+        return self.now < self.rest.get(way, 0)
+
+    def figures(self, server, fresh, zone=None):
+        """Tries, errored, mean cost of a good answer (an errored try costs an objective) and span, of late.
+
+        From the proxies of one zone, or of all but those behind an ill way: they tell of the way."""
         tries = errored = spent = spans = 0
-        zones = set()
-        for when, n, bad, took, span, zone in samples:
-            if self.now - when <= fresh:
+        origins = set()
+        for when, n, bad, took, span, origin in server.samples:
+            counts = origin == zone if zone else not self.rests((origin, server.zone))
+            if counts and self.now - when <= fresh:
                 tries, errored, spent = tries + n, errored + bad, spent + (n - bad) * took
                 spans += span
-                zones.add(zone)
+                origins.add(origin)
         cost = (spent + errored * self.objective) / max(tries - errored, 0.1)
-        return tries, errored, cost, spans / max(len(zones), 1)
+        return tries, errored, cost, spans / max(len(origins), 1)
 
     def pressure(self, zone, at, part=0.5):
         """Cost of a good answer to a zone's proxies at the zones `at`, by the objective; None without news.
 
         The middle one of the servers by tries: a few sick ones are the judge's matter, and no load."""
-        by_server = {}
-        for server, sample in self.felt[zone]:
-            if self.servers[server].zone in at:
-                by_server.setdefault(server, []).append(sample)
-        figures = [self.figures(samples, FELT) for samples in by_server.values()]
-        costs = sorted((cost, tries) for tries, _, cost, _ in figures)
+        figures = [self.figures(s, FELT, zone) for s in self.servers.values() if s.zone in at]
+        costs = sorted((cost, tries) for tries, _, cost, _ in figures if tries)
         passed = list(accumulate(tries for _, tries in costs))
         if not passed or passed[-1] < ENOUGH:
             return None
@@ -239,7 +239,7 @@
 
     def judge(self):
         live = {name: s for name, s in self.servers.items() if s.state == "ready"}
-        figures = {name: self.figures(s.samples, FRESH) for name, s in live.items()}
+        figures = {name: self.figures(s, FRESH) for name, s in live.items()}
         seen = [f for f in figures.values() if f[0] >= ENOUGH]
         if len(seen) < 2:
             return
@@ -255,8 +255,8 @@
             target = min(max(usual / cost, TUNED[0]), most)
             far = cost > FAR * usual and target < server.tuned
             server.tuned *= (target / server.tuned) ** (STEP_FAR if far else STEP)
-            mark = TOLD if f"cut {name}" in self.modes else TOLD / 2
-            self.mode(f"cut {name}", server.tuned < mark, f"{errored} of {tries} tries errored,"
+            told = f"cut {name}"
+            self.mode(told, server.tuned < TOLD[told in self.modes], f"{errored} of {tries} tries errored,"
                       f" {cost / MS:.0f} ms a good answer, usual {usual / MS:.0f}")
         for zone in self.set.zones:
             warm = [(n, s) for n, s in live.items() if s.zone == zone and not self.cold(s)]
@@ -264,7 +264,7 @@
             if weight:
                 good = sum((figures[n][0] - figures[n][1]) * S / max(figures[n][3], 1) for n, _ in warm)
                 self.carried[zone].append(good / weight)
-            at = [other for other in self.set.zones if self.now >= self.rest.get((zone, other), 0)]
+            at = [other for other in self.set.zones if not self.rests((zone, other))]
             felt = self.pressed[zone] = self.pressure(zone, at)
             for other in self.set.zones if felt is not None else ():
                 if other != zone:
@@ -277,19 +277,18 @@
         there = self.pressure(way[0], way[1:], 0.25)  # even its better servers
         if there is not None and there > FAR * max(felt, PRESSED):
             self.rest[way] = self.now + REST
-        rests = self.now < self.rest[way]
+        rests = self.rests(way)
         over = felt - PRESSED - BY_PRICE * self.set.cross_price
         want = 0.0 if rests else min(max(over / FULL_PRESS, 0.0), 1.0) ** BORROW_POWER
         step = BORROW_UP if rests or want > self.borrow[way] else BORROW_DOWN
         self.borrow[way] += step * (want - self.borrow[way])
-        told = f"borrowing {way[0]} from {way[1]}"
-        mark = 1 - TOLD if told in self.modes else TOLD
-        self.mode(told, self.borrow[way] > mark, f"time {felt:.2f} of the objective")
-        self.mode(f"way {way[0]} to {way[1]} rests", rests, f"time {felt:.2f} here, {there or 0:.2f} there")
+        told, figures = " from ".join(way), f"time {felt:.2f} of the objective, {there or 0:.2f} there"
+        self.mode(f"borrowing {told}", self.borrow[way] > BORROWED, figures)
+        self.mode(f"no borrowing {told}", rests, figures)
 
     def levels(self):
         """Under pressure further tries go first, then levels; they come back in the opposite order."""
-        for table in self.tables:
+        for table in self.all_tables():
             felt = self.pressed[table.zone]
             if felt is None or self.set.admission != "share":
                 continue
@@ -300,7 +299,7 @@
                 table.tries = 0  # tries at full servers would double a flood at its start
             elif table.level == 1:
                 table.tries = self.tries
-            spent = all(share > BORROWED or self.now < self.rest[way] for way, share in self.borrow.items()
+            spent = all(share > BORROWED or self.rests(way) for way, share in self.borrow.items()
                         if way[0] == table.zone)
             if felt > FLOOD or felt > SHED_AT and (table.local or spent):
                 least = let * max((SHED_AT / felt) ** LEVEL_POWER, LEVEL_DOWN)
@@ -362,21 +361,23 @@
     def form_groups(self):
         """Servers of a zone form groups, with a table for what may cross zones and one for what may not."""
         ready = [s for s in self.servers.values() if s.state == "ready"]
-        local = sum(bit for bit, _, stays, _ in self.operations if stays)
-        wide = sum(bit for bit, _, stays, _ in self.operations if not stays)
+        masks = [(sum(bit for bit, _, stays, _ in self.operations if stays == local), local)
+                 for local in (False, True)]
         for zone in [z for z, count in self.groups.items() if not count and ready]:
             here = sum(s.zone == zone for s in ready)
             self.groups[zone] = max(1, here // (GROUP_STANDING * self.set.standing))
             for group in range(self.groups[zone]):
-                for mask, is_local in ((wide, False), (local, True)):
-                    if mask:
-                        number = len(self.tables) + 1
-                        self.tables.append(Table(number, zone, group, is_local, mask, self.tries))
+                first = 2 * len(self.tables) + 1
+                self.tables[zone, group] = [Table(first + local, zone, group, local, mask, self.tries)
+                                            for mask, local in masks if mask]
         for server in ready:
             if server.group is None and server.zone in self.groups:
                 peers = [s.group for s in ready if s.zone == server.zone]
                 server.group = min(range(self.groups[server.zone]), key=peers.count)
 
+    def all_tables(self):
+        return chain.from_iterable(self.tables.values())
+
     def loads(self, zone):
         """By group of a zone: the load of its proxies here, and its weight."""
         loads = [[0.0, 0.0] for _ in range(self.groups[zone])]
@@ -408,7 +409,7 @@
         """Work out each table's lines; a change that matters starts or widens its waiting push."""
         ready = {n: s for n, s in self.servers.items() if s.state == "ready"}
         weights = {n: s.weight * self.ramping(s) * s.tuned for n, s in ready.items()}
-        for table in self.tables:
+        for table in self.all_tables():
             own = [n for n, s in ready.items() if (s.zone, s.group) == (table.zone, table.group)]
             own = own or [n for n, s in ready.items() if s.zone == table.zone]
             lines = {n: weights[n] for n in own}
@@ -441,27 +442,25 @@
 
     # -- the push job
 
-    def room(self, proxies, lines, gate, spare):
-        """Whether a push of so many lines to these proxies keeps the channel and their allowances.
+    def book(self, proxies, lines, gate=1.0, spare=1.0):
+        """Take room for so many lines to these proxies, if the channel and their allowances have it.
 
         The channel's pace is never guessed: all that was not answered for counts as still waiting, so a
         slow channel, a lost answer or a proxy that stands still holds pushes back and breaks no limit."""
-        new = sum(lines + (0 if p in self.touched else self.set.message_lines + 1) for p in proxies)
-        if self.unread + new > gate * self.set.channel_limit:
+        head = self.set.message_lines + 1  # and the mark
+        cost = {p: lines + (0 if p in self.touched else head) for p in proxies}
+        if self.unread + sum(cost.values()) > gate * self.set.channel_limit:
             return False
-        for p in proxies if self.set.message_limit else ():
+        for p in cost.keys() - self.touched.keys() if self.set.message_limit else ():
             sent = self.proxies[p].messages
             while sent and self.now - sent[0] > self.set.message_window:
                 sent.popleft()
-            if p not in self.touched and len(sent) + 1 > spare * self.set.message_limit - 1:
+            if len(sent) + 1 > spare * self.set.message_limit - 1:
                 return False
-        return True
-
-    def touch(self, proxies, lines):
-        for p in proxies:
-            new = lines + (0 if p in self.touched else self.set.message_lines + 1)  # a head, and the mark
+        for p, new in cost.items():
             self.touched[p] = self.touched.get(p, 0) + new
             self.unread += new
+        return True
 
     def demand(self, proxy):
         """Invocations a second that came to a proxy of late; before any report, what it said at joining."""
@@ -475,33 +474,41 @@
         return sum(self.demand(p) for p in self.proxies.values() if p.zone == zone)
 
     def push(self):
-        for zone, group in sorted({(t.zone, t.group) for t in self.tables}):
+        for (zone, group), tables in self.tables.items():
             # the tables of a group go to the same proxies: one message for both
             bound = [p for p, proxy in self.proxies.items() if (proxy.zone, proxy.group) == (zone, group)]
-            tables = [t for t in self.tables if (t.zone, t.group) == (zone, group) and t.first is not None]
+            changed = [t for t in tables if t.first is not None]
             due = any(self.now - t.pushed >= TABLE_EVERY
-                      and (self.now - t.last >= QUIET or self.now - t.first >= QUIET_CAP) for t in tables)
-            if any(t.urgent for t in tables):
-                self.send(tables, bound, True, URGENT_GATE, 1.0)
+                      and (self.now - t.last >= QUIET or self.now - t.first >= QUIET_CAP) for t in changed)
+            if any(t.urgent for t in changed):
+                self.send(changed, bound, True)
             if due or not bound:
-                self.send(tables, bound, False, GATE, SPARE_MESSAGES)
+                self.send(changed, bound, False, GATE, SPARE_MESSAGES)
         self.bind_waiting()
         self.shut_out()
-        if not self.touched:
-            return
-        self.seal = self.seal % SEALS + 1
-        self.out.mark(self.seal, False)
+        if self.touched:
+            self.seal = self.seal % SEALS + 1
+            self.out.mark(self.seal, False)
         for p, lines in self.touched.items():
             self.proxies[p].messages.append(self.now)
             self.proxies[p].unread[self.seal] = lines
 
-    def send(self, tables, bound, urgent, gate, spare):
+    def send(self, tables, bound, urgent, *limits):
         changes = [t.change(urgent) for t in tables]
         lines = sum(len(change) for change in changes)
-        if not lines or self.room(bound, lines, gate, spare):
-            for table, change in zip(tables, changes, strict=True):
-                self.write(table, change, urgent)
-            self.touch(bound if lines else (), lines)
+        if lines and not self.book(bound, lines, *limits):
+            return
+        for table, change in zip(tables, changes, strict=True):
+            for name, weight in sorted(change.items(), key=lambda c: c[1] == 0):  # never empty in between
+                if name == LEVEL:
+                    level = abs(weight) if self.set.admission == "share" else NO_RATE
+                    self.out.admit(table.number, 0, level, self.tries if weight > 0 else 0)
+                else:
+                    self.out.line(table.number, name, weight)
+            table.sent = {n: w for n, w in (table.sent | change).items() if w}
+            table.urgent = False
+            if not urgent:
+                table.first, table.pushed = None, self.now
 
     def bind_waiting(self):
         """Bind proxies that wait, the busiest first, each to the group of its zone with most room."""
@@ -511,45 +518,22 @@
             proxy = self.proxies[p]
             loads = by_zone[proxy.zone]
             best = min(range(len(loads)), key=lambda g: loads[g][0] / max(loads[g][1], 0.001))
-            tables = [t for t in self.tables
-                      if (t.zone, t.group) == (proxy.zone, best) and t.sent.keys() - {LEVEL}]
-            if not tables or not self.room([p], sum(1 + len(t.sent) for t in tables), GATE, 1.0):
-                continue
-            for t in tables:
-                self.out.bind(p, t.number, t.mask)
-                self.touch([p], 1 + len(t.sent))
-            proxy.group, proxy.waits = best, False
-            loads[best][0] += self.demand(proxy)
+            tables = [t for t in self.tables[proxy.zone, best] if t.sent.keys() - {LEVEL}]
+            if tables and self.book([p], sum(1 + len(t.sent) for t in tables), GATE):
+                for t in tables:
+                    self.out.bind(p, t.number, t.mask)
+                proxy.group, proxy.waits = best, False
+                loads[best][0] += self.demand(proxy)
 
     def shut_out(self):
         """Tables carry the drains to bound proxies; others may hold lines that nobody here knows of."""
-        waiting = [p for p, proxy in self.proxies.items() if proxy.group is None]
+        waiting = any(proxy.group is None for proxy in self.proxies.values())
         for name, server in self.servers.items():
             out = server.state != "ready"
-            if (out and waiting or not out) and out != (name in self.shut) and (
-                    self.room(self.proxies, 1, URGENT_GATE, 1.0)):
+            if out != (name in self.shut) and (waiting or not out) and self.book(self.proxies, 1):
                 self.out.withdraw(name, out)
-                self.touch(self.proxies, 1)
                 (self.shut.add if out else self.shut.remove)(name)
 
-    def write(self, table, change, urgent):
-        for name, weight in sorted(change.items(), key=lambda c: c[1] == 0):  # never empty in between
-            if name == LEVEL:
-                level = abs(weight) if self.set.admission == "share" else NO_RATE
-                self.out.admit(table.number, 0, level, self.tries if weight > 0 else 0)
-            else:
-                self.out.line(table.number, name, weight)
-        table.sent = {n: w for n, w in (table.sent | change).items() if w}
-        table.urgent = False
-        if not urgent:
-            table.first, table.pushed = None, self.now
-
-    def arm(self):
-        """Keep the one timer chain going while something is due."""
-        if not self.armed and (self.proxies or self.retry_at is not None):
-            self.armed = 1
-            self.out.timer(TICK, 1)
-
     # -- slices
 
     def slice_given(self, number):
@@ -563,19 +547,14 @@
             self.slices[number][server] = weight
 
     def tend_slices(self):
-        """A slice keeps the lines it came with; one whose server is no longer ready gets another."""
-        ready = [n for n, s in self.servers.items() if s.state == "ready"]
-        held = [n for lines in self.slices.values() for n in lines]
-        for number, lines in self.slices.items():
-            lost = [n for n in lines if n not in ready]
-            if not ready or lines and not lost:
-                continue
-            if len(lost) == len(lines):
-                name = min(ready, key=lambda n: (held.count(n), n))
-                held.append(name)
-                lines[name] = 1
-                self.out.line(number, name, 1)
-            for name in lost:
-                del lines[name]
-                if not self.set.single_owner:
-                    self.out.line(number, name, 0)
+        """A slice keeps the lines it came with; one that has lost its last server gets another."""
+        ready = {n: 1 for n, s in self.servers.items() if s.state == "ready"}
+        for number, lines in self.slices.items() if ready else ():
+            keep = {n: w for n, w in lines.items() if n in ready}
+            if not keep:
+                held = [n for others in self.slices.values() for n in others]
+                keep = {min(ready, key=lambda n: (held.count(n), n)): 1}
+            for name in [n for n in [*keep, *lines] if keep.get(n) != lines.get(n)]:
+                if name in keep or not self.set.single_owner:  # there a new owner takes the old one's place
+                    self.out.line(number, name, keep.get(name, 0))
+            self.slices[number] = keep
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -74,7 +74,7 @@
         return written
 
     def table(self, zone="east", local=False):
-        return next(t for t in self.planner.tables if (t.zone, t.local) == (zone, local))
+        return next(t for t in self.planner.all_tables() if (t.zone, t.local) == (zone, local))
 
 
 @pytest.fixture
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -95,13 +95,13 @@
     made = bench(standing=1)
     made.start(east=8, west=8)
     made.turn(("listed", ("changes", [made.server(f"e{k}", state="gone") for k in range(8)])))
-    borrowed = [t.want.keys() - {LEVEL} for t in made.planner.tables if t.zone == "east"]
+    borrowed = [t.want.keys() - {LEVEL} for t in made.planner.all_tables() if t.zone == "east"]
     assert [len(lines) for lines in borrowed] == [2, 2, 2, 2]
     assert len(set.union(*borrowed)) == 8
     left = {next(iter(borrowed[0]))}
     gone = [made.server(f"w{k}", "west", "gone") for k in range(8) if f"w{k}" not in left]
     made.turn(("listed", ("changes", gone)))
-    assert all(t.want.keys() - {LEVEL} == left for t in made.planner.tables)
+    assert all(t.want.keys() - {LEVEL} == left for t in made.planner.all_tables())
 
 
 def test_operation_that_stays_at_home_gets_no_foreign_line(bench):
@@ -313,10 +313,8 @@
 def test_slow_way_is_not_borrowed_over_and_is_no_load(bench):
     """The servers behind it answer their own zone well; its tries tell neither of them nor of load."""
     made = bench(zones=("east", "west", "south"))
-    made.turn(
-        ("listed", ("held", [made.server(f"{z[0]}{k}", z) for z in made.planner.set.zones for k in range(4)])),
-        ("joined", (0, "east", 10.0, True)),
-    )
+    entries = [made.server(f"{zone[0]}{k}", zone) for zone in made.planner.set.zones for k in range(4)]
+    made.turn(("listed", ("held", entries)), ("joined", (0, "east", 10.0, True)))
     for _ in range(16):
         own = [("met", ("east", f"e{k}", 20, 0, S * 35 // 100, S // 2, None)) for k in range(4)]
         far = [("met", ("east", f"w{k}", 20, 5, S * 16 // 10, S // 2, None)) for k in range(4)]
