--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -23,10 +23,8 @@
 SAMPLES, FRESH = 10, 2500 * MS  # reports kept of a server; beyond its span one counts for so long
 ENOUGH = 6  # tries below which a server's figures are chance
 JUDGE_EVERY = 1 * S  # reports are a second or two late: judging more often acts twice on the same news
-FAR = 1.8  # a server that costs this many times the usual is in trouble: its weight goes down fast
-# part of the way (in logarithms) to the target in one judgement, in trouble and else: news is seconds old,
-# and time rises steeply near capacity, so faster steps chase the server's own queue
-STEP_FAR, STEP = 0.5, 0.12
+FAR = 1.8  # a way over which even good servers cost this many times the usual is ill
+STEP = 0.25  # part of the way (in logarithms) to its target that a weight goes in one judgement: news is late
 BORROW_UP, BORROW_DOWN = 0.6, 0.05  # parts of its way that borrowing goes in a judgement: causes tend to stay
 TUNED = (0.25, 1.3)  # bounds of the correction by measured time: deeper cuts come back too slowly
 WORTH_SENDING, LEVEL_WORTH = 0.12, 0.04  # a weight or level that moves by less than this part stays as sent
@@ -253,8 +251,7 @@
                 continue
             most = 1.0 if self.cold(server) else TUNED[1]  # a server under little load looks fast
             target = min(max(usual / cost, TUNED[0]), most)
-            far = cost > FAR * usual and target < server.tuned
-            server.tuned *= (target / server.tuned) ** (STEP_FAR if far else STEP)
+            server.tuned *= (target / server.tuned) ** STEP
             told = f"cut {name}"
             self.mode(told, server.tuned < TOLD[told in self.modes], f"{errored} of {tries} tries errored,"
                       f" {cost / MS:.0f} ms a good answer, usual {usual / MS:.0f}")
