Let cold servers wait for the first news after a start where proxies avoid failing ones

Also covers a start in any trouble that keeps news away; it could harm a start with nearly all servers cold, where the few warm ones carry all for some seconds.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -146,12 +146,22 @@
 
 
 def test_flooded_zone_takes_cold_servers_out(started):
+    started.run(2, CALM)
     started.turn(("listed", ("changes", [started.server("e9", age=0)])))
     assert "e9" in started.table().want
     started.run(3, {f"e{k}": (20, 19, 0.9) for k in range(4)}, arrive=40)
     assert "e9" not in started.table().want
 
 
+def test_cold_servers_wait_for_the_first_news_after_a_start(bench):
+    made = bench()
+    made.start()
+    made.turn(("listed", ("changes", [made.server("e9", age=1)])))
+    assert "e9" not in made.table().want
+    made.run(2, CALM)
+    assert "e9" in made.table().want
+
+
 def test_weight_follows_the_cost_of_a_good_answer(started):
     started.run(8, CALM | {"e0": (5, 0, 0.9), "e1": (5, 4, 0.01)})
     slow, failing = (started.planner.servers[name].tuned for name in ("e0", "e1"))
@@ -211,6 +221,7 @@
 
 
 def test_no_further_tries_beside_cold_servers(started):
+    started.run(2, CALM)
     assert started.table().want[LEVEL] == 1.0
     started.turn(("listed", ("changes", [started.server("e9", age=0)])))
     assert started.table().want[LEVEL] == -1.0
