--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -16,10 +16,9 @@
 
 QUIET, QUIET_CAP = 200 * MS, 1 * S  # debounce: act after this much quiet, or after this wait at the latest
 TABLE_EVERY = 1 * S  # a table is pushed at most this often (drains and shut-outs excepted)
-GATE = 0.5  # the push job sends while the channel holds less than this part; drains may use all
+GATE, DRAIN_GATE = 0.5, 0.9  # the push job sends while the channel holds less than this part; drains go past
 SPARE_MESSAGES = 0.6  # ordinary pushes use this part of a proxy's message allowance; the rest is for drains
 RAMP_FROM = 0.25  # a new server starts at this part of its weight (the design's quarter)
-RAMP_STEPS = 6  # coarse steps of the ramp: each costs a message to every proxy of the table
 SAMPLES, FRESH = 10, 2500 * MS  # reports kept of a server; beyond its span one counts for so long
 ENOUGH = 6  # tries below which a server's figures are chance
 JUDGE_EVERY = 1 * S  # reports are a second or two late: judging more often acts twice on the same news
@@ -40,7 +39,6 @@
 SHED_AT, LET_AT = 0.4, 0.3  # mean time / objective above which levels fall, and below which they rise
 FLOOD = 1.0  # and above which tries and levels fall together: what is sent now will mostly be late
 LEVEL_LAG = 4  # judgements ago that the news tells of: a cut is reckoned from the level of then
-LEVEL_POWER = 0.7  # how the level follows the time: its power
 LEVEL_DOWN, LEVEL_UP = 0.6, 1.5  # the most that a level falls or rises in one judgement
 LEVEL_LEAST, LEVEL_COLD = 0.2, 0.1  # no level goes lower, as then it is not load; nor with only cold servers
 NO_RATE = 1e6  # lets all in where levels are rates
@@ -299,10 +297,10 @@
             spent = all(share > BORROWED or self.rests(way) for way, share in self.borrow.items()
                         if way[0] == table.zone)
             if felt > FLOOD or felt > SHED_AT and (table.local or spent):
-                least = let * max((SHED_AT / felt) ** LEVEL_POWER, LEVEL_DOWN)
+                least = let * max(SHED_AT / felt, LEVEL_DOWN)
                 table.level = min(table.level, max(least, LEVEL_LEAST))
             elif felt < LET_AT:
-                most = min(let * min((LET_AT / felt) ** LEVEL_POWER, LEVEL_UP), 1.0)
+                most = min(let * min(LET_AT / felt, LEVEL_UP), 1.0)
                 table.level = max(table.level, most)
             told = f"time {felt:.2f} of the objective"
             self.mode(f"no further tries {table.zone} {table.number}", table.tries < self.tries, told)
@@ -352,10 +350,6 @@
             lines[name] = min(lines[name], warm * most / (1 - total)) if warm else most
         return 1.0 if warm else min(max(total, LEVEL_COLD), 1.0)
 
-    def ramping(self, server):
-        """How far a server is on its ramp after a start, in coarse steps from a quarter to 1."""
-        return RAMP_FROM + (1 - RAMP_FROM) * int(self.warmth(server) * RAMP_STEPS) / RAMP_STEPS
-
     def form_groups(self):
         """Servers of a zone form groups, with a table for what may cross zones and one for what may not."""
         ready = [s for s in self.servers.values() if s.state == "ready"]
@@ -406,7 +400,8 @@
     def lay_out(self):
         """Work out each table's lines; a change that matters starts or widens its waiting push."""
         ready = {n: s for n, s in self.servers.items() if s.state == "ready"}
-        weights = {n: s.weight * self.ramping(s) * s.tuned for n, s in ready.items()}
+        weights = {n: s.weight * (RAMP_FROM + (1 - RAMP_FROM) * self.warmth(s)) * s.tuned
+                   for n, s in ready.items()}
         for table in self.all_tables():
             own = [n for n, s in ready.items() if (s.zone, s.group) == (table.zone, table.group)]
             own = own or [n for n, s in ready.items() if s.zone == table.zone]
@@ -427,7 +422,8 @@
             before = dict(table.want)
             for name in [n for n in table.want if n not in lines]:
                 table.want.pop(name)
-                table.urgent |= name != LEVEL and self.servers[name].state != "ready"
+            # by what was sent: a line may wait to be taken away when its server drains
+            table.urgent |= any(self.servers[n].state != "ready" for n in table.sent.keys() - lines.keys())
             for name, weight in lines.items():
                 old = table.want.get(name)
                 worth = LEVEL_WORTH if name == LEVEL else WORTH_SENDING
@@ -440,7 +436,7 @@
 
     # -- the push job
 
-    def book(self, proxies, lines, gate=1.0, spare=1.0):
+    def book(self, proxies, lines, gate=DRAIN_GATE, spare=1.0):
         """Take room for so many lines to these proxies, if the channel and their allowances have it.
 
         The channel's pace is never guessed: all that was not answered for counts as still waiting, so a
