Make groups of a standing table's size, compared by weights in force; larger proxies move first

Cause: at size one group of a zone floods while its others stand idle, and the middle server hides it.

--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -46,8 +46,7 @@
 SAFE = 0.4  # part of what the rule on cold servers lets through that a table plans for: speeds differ
 TOLD = 0.4, 0.8  # staff hear of a weight cut under the first, until it is back at the second
 CARRIED = 60  # judgements over which the most that a zone's servers carried is kept
-GROUP_STANDING = 2  # standing tables' worth of servers in a group: a heavy proxy overfills a smaller one
-MOVE_AT = 1.5  # share of load / share of weight past which a group gives up proxies (the design's)
+MOVE_AT = 1.2  # share of load / share of weight past which a group gives up proxies: later one group floods
 SEALS = 60_000  # marks are counted up to this and begin anew
 TICK = 100 * MS  # the timer chain's step while something is due
 
@@ -350,6 +349,9 @@
             lines[name] = min(lines[name], warm * most / (1 - total)) if warm else most
         return 1.0 if warm else min(max(total, LEVEL_COLD), 1.0)
 
+    def weight(self, server):
+        return server.weight * server.tuned * (RAMP_FROM + (1 - RAMP_FROM) * self.warmth(server))
+
     def form_groups(self):
         """Servers of a zone form groups, with a table for what may cross zones and one for what may not."""
         ready = [s for s in self.servers.values() if s.state == "ready"]
@@ -357,7 +359,7 @@
                  for local in (False, True)]
         for zone in [z for z, count in self.groups.items() if not count and ready]:
             here = sum(s.zone == zone for s in ready)
-            self.groups[zone] = max(1, here // (GROUP_STANDING * self.set.standing))
+            self.groups[zone] = max(1, here // self.set.standing)
             for group in range(self.groups[zone]):
                 first = 2 * len(self.tables) + 1
                 self.tables[zone, group] = [Table(first + local, zone, group, local, mask, self.tries)
@@ -378,11 +380,11 @@
                 loads[proxy.group][0] += self.demand(proxy)
         for server in self.servers.values():
             if server.zone == zone and server.state == "ready":
-                loads[server.group][1] += server.weight
+                loads[server.group][1] += self.weight(server)
         return loads
 
     def move(self):
-        """Past the design's mark a group gives up proxies of ours, the least first, up to its excess."""
+        """Past the design's mark a group gives up proxies of ours, the largest that fit its excess."""
         for zone in self.set.zones:
             loads = self.loads(zone)
             total, weights = sum(load for load, _ in loads), sum(weight for _, weight in loads)
@@ -392,16 +394,15 @@
                     continue
                 mine = [p for p, x in self.proxies.items()
                         if (x.zone, x.group) == (zone, group) and not x.waits]
-                for p in sorted(mine, key=lambda p: (self.demand(self.proxies[p]), p)):
-                    excess -= self.demand(self.proxies[p])
-                    if excess >= 0:
+                for p in sorted(mine, key=lambda p: (-self.demand(self.proxies[p]), p)):
+                    if self.demand(self.proxies[p]) <= excess:
+                        excess -= self.demand(self.proxies[p])
                         self.proxies[p].waits = True  # bound again below, to the group with most room
 
     def lay_out(self):
         """Work out each table's lines; a change that matters starts or widens its waiting push."""
         ready = {n: s for n, s in self.servers.items() if s.state == "ready"}
-        weights = {n: s.weight * (RAMP_FROM + (1 - RAMP_FROM) * self.warmth(s)) * s.tuned
-                   for n, s in ready.items()}
+        weights = {n: self.weight(s) for n, s in ready.items()}
         for table in self.all_tables():
             own = [n for n, s in ready.items() if (s.zone, s.group) == (table.zone, table.group)]
             own = own or [n for n, s in ready.items() if s.zone == table.zone]
