--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -81,8 +81,7 @@
         self.number, self.zone, self.group, self.local, self.mask = number, zone, group, local, mask
         self.want, self.sent = {}, {}
         self.first = self.last = None  # first and last change since the last push
-        self.urgent = False
-        self.pushed = -TABLE_EVERY
+        self.urgent, self.pushed = False, -TABLE_EVERY
         self.level, self.tries = 1.0, tries
         self.levels = deque(maxlen=LEVEL_LAG)  # of the last judgements, with what arrived a second then
 
@@ -100,12 +99,11 @@
 
     def __init__(self, settings, seed):
         self.set, self.random = settings, random.Random(seed)
-        self.servers, self.proxies = {}, {}
+        self.servers, self.proxies, self.slices = {}, {}, {}
         self.unread = 0  # lines written that no proxy has answered for: the channel holds no more than these
-        self.judged = self.armed = 0
-        self.pressed = dict.fromkeys(settings.zones)  # what a zone's proxies felt at home when last judged
+        self.judged = self.armed = self.seal = 0
+        self.pressed = dict.fromkeys(settings.zones)  # what a zone's proxies felt when last judged
         self.retry_at, self.retry_wait = 0 if settings.asks_list else None, S  # when to subscribe
-        self.slices = {}
         ways = [(zone, other) for zone in settings.zones for other in settings.zones if other != zone]
         self.borrow = dict.fromkeys(ways, 0.0)
         self.rest = dict.fromkeys(ways, 0)  # until when an ill way is not borrowed over
@@ -120,7 +118,6 @@
         self.tables = {}  # (zone, group) -> its tables: for what may cross zones, and for what may not
         self.groups = dict.fromkeys(settings.zones, 0)
         self.shut = set()  # servers withdrawn because a proxy that was not bound yet might send there
-        self.seal = 0
         self.modes = set()  # what the staff were told is on
 
     def decide(self, now, calls, writer):
@@ -233,6 +230,7 @@
         return costs[middle][0] / self.objective
 
     def judge(self):
+        self.pressed = dict.fromkeys(self.pressed)  # where news stops nothing is judged on the old
         live = {name: s for name, s in self.servers.items() if s.state == "ready"}
         figures = {name: self.figures(s, FRESH) for name, s in live.items()}
         seen = [f for f in figures.values() if f[0] >= ENOUGH]
@@ -296,11 +294,9 @@
             spent = all(share > BORROWED or self.rests(way) for way, share in self.borrow.items()
                         if way[0] == table.zone)
             if felt > FLOOD or felt > SHED_AT and (table.local or spent):
-                least = let * max(SHED_AT / felt, LEVEL_DOWN)
-                table.level = min(table.level, max(least, LEVEL_LEAST))
+                table.level = min(table.level, max(let * max(SHED_AT / felt, LEVEL_DOWN), LEVEL_LEAST))
             elif felt < LET_AT:
-                most = min(let * min(LET_AT / felt, LEVEL_UP), 1.0)
-                table.level = max(table.level, most)
+                table.level = max(table.level, min(let * min(LET_AT / felt, LEVEL_UP), 1.0))
             told = f"time {felt:.2f} of the objective"
             self.mode(f"no further tries {table.zone} {table.number}", table.tries < self.tries, told)
             self.mode(f"level {table.zone} {table.number}", table.level < 1, f"{table.level:.2f}, {told}")
@@ -325,10 +321,8 @@
 
         The most that its zone's servers carried of late stands for a full capacity; before any report,
         what the proxies said at joining does."""
-        carried = max(self.carried.get(server.zone, ()), default=0)
-        if not carried:
-            listed = sum(s.weight for s in self.servers.values() if s.zone == server.zone)
-            carried = sum(p.rate for p in self.proxies.values() if p.zone == server.zone) / max(listed, 1)
+        size = sum(s.weight for s in self.servers.values() if s.zone == server.zone)
+        carried = max(self.carried.get(server.zone, ()), default=0) or self.arriving(server.zone) / max(size, 1)
         now = self.set.start_capacity + (1 - self.set.start_capacity) * self.warmth(server)
         return SAFE * self.set.fall_multiple * now * carried * server.weight
 
@@ -392,12 +386,11 @@
                 excess = load - total * weight / max(weights, 0.001)
                 if len(loads) == 1 or load <= MOVE_AT * (load - excess):
                     continue
-                mine = [p for p, x in self.proxies.items()
-                        if (x.zone, x.group) == (zone, group) and not x.waits]
-                for p in sorted(mine, key=lambda p: (-self.demand(self.proxies[p]), p)):
-                    if self.demand(self.proxies[p]) <= excess:
-                        excess -= self.demand(self.proxies[p])
-                        self.proxies[p].waits = True  # bound again below, to the group with most room
+                own = [x for x in self.proxies.values() if (x.zone, x.group, x.waits) == (zone, group, False)]
+                for proxy in sorted(own, key=self.demand, reverse=True):
+                    if self.demand(proxy) <= excess:
+                        excess -= self.demand(proxy)
+                        proxy.waits = True  # bound again below, to the group with most room
 
     def lay_out(self):
         """Work out each table's lines; a change that matters starts or widens its waiting push."""
@@ -410,7 +403,7 @@
             alone = all(self.cold(ready[n]) for n in own)
             # to each group a part of the others: connections and lines would grow as proxies times servers
             parts, part = max(self.groups.values()), table.group + self.set.zones.index(table.zone)
-            abroad = {n: 1.0 if alone else self.borrow[table.zone, s.zone]
+            abroad = {n: 1.0 if alone else self.borrow.get((table.zone, s.zone), 0.0)
                       for n, s in ready.items() if s.zone != table.zone and not table.local}
             mine = {n: share for n, share in abroad.items() if (ready[n].place - part) % parts == 0} or abroad
             lent = {n: share * weights[n] for n, share in mine.items() if share > BORROW_LEAST}
@@ -459,10 +452,9 @@
 
     def demand(self, proxy):
         """Invocations a second that came to a proxy of late; before any report, what it said at joining."""
-        if not proxy.arrived:
-            return proxy.rate
-        lasts = proxy.arrived.values()
-        return sum(sum(n for n, _ in last) * S / max(sum(span for _, span in last), 1) for last in lasts)
+        rates = [sum(n for n, _ in last) * S / max(sum(span for _, span in last), 1)
+                 for last in proxy.arrived.values()]
+        return sum(rates) if rates else proxy.rate
 
     def arriving(self, zone):
         """Invocations a second that came to the zone's proxies, those that came again after a refusal too."""
@@ -538,8 +530,7 @@
         self.slices.pop(number, None)
 
     def slice_line(self, number, server, weight):
-        if number in self.slices:
-            self.slices[number][server] = weight
+        self.slices.setdefault(number, {})[server] = weight
 
     def tend_slices(self):
         """A slice keeps the lines it came with; one that has lost its last server gets another."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -211,6 +211,15 @@
     assert (table.tries, table.level) == (1, 1.0)
 
 
+def test_news_that_stops_moves_no_level(started):
+    table = started.table()
+    started.run(6, dict.fromkeys(CALM, (20, 0, 0.7)))
+    started.run(3)
+    level = table.level
+    started.run(10)
+    assert table.level == level < 1
+
+
 def test_clients_that_come_again_lower_the_level_further(bench):
     steady, storm = bench(), bench()
     for made, arrive in ((steady, 20), (storm, 60)):
