--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -321,8 +321,8 @@
 
         The most that its zone's servers carried of late stands for a full capacity; before any report,
         what the proxies said at joining does."""
-        size = sum(s.weight for s in self.servers.values() if s.zone == server.zone)
-        carried = max(self.carried.get(server.zone, ()), default=0) or self.arriving(server.zone) / max(size, 1)
+        size = max(sum(s.weight for s in self.servers.values() if s.zone == server.zone), 1)
+        carried = max(self.carried.get(server.zone, [0]), default=0) or self.arriving(server.zone) / size
         now = self.set.start_capacity + (1 - self.set.start_capacity) * self.warmth(server)
         return SAFE * self.set.fall_multiple * now * carried * server.weight
 
