Let in most of what short news says is answered, whatever the time says

Told from a lack of capacity by the answers that came in time. Also covers levels after any short trouble; it could harm where capacity falls faster than the news.

--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -41,6 +41,7 @@
 LEVEL_LAG = 4  # judgements ago that the news tells of: a cut is reckoned from the level of then
 LEVEL_DOWN, LEVEL_UP = 0.6, 1.5  # the most that a level falls or rises in one judgement
 LEVEL_LEAST, LEVEL_COLD = 0.2, 0.1  # no level goes lower, as then it is not load; nor with only cold servers
+ANSWERED = 0.8  # part of what is answered that is let in all the same, by short sums: long ones are old
 NO_RATE = 1e6  # lets all in where levels are rates
 LEVEL = ""  # the key of a table's level among its lines; no server is called so
 SAFE = 0.4  # part of what the rule on cold servers lets through that a table plans for: speeds differ
@@ -203,26 +204,28 @@
         return self.now < self.rest.get(way, 0)
 
     def figures(self, server, fresh, zone=None):
-        """Tries, errored, mean cost of a good answer (an errored try costs an objective) and span, of late.
+        """Tries, errored and mean cost of a good answer (an errored try costs an objective), of late.
 
         From the proxies of one zone, or of all but those behind an ill way: they tell of the way."""
-        tries = errored = spent = spans = 0
-        origins = set()
-        for when, n, bad, took, span, origin in server.samples:
+        tries = errored = spent = 0
+        for when, n, bad, took, _, origin in server.samples:
             counts = origin == zone if zone else not self.rests((origin, server.zone))
             if counts and self.now - when <= fresh:
                 tries, errored, spent = tries + n, errored + bad, spent + (n - bad) * took
-                spans += span
-                origins.add(origin)
-        cost = (spent + errored * self.objective) / max(tries - errored, 0.1)
-        return tries, errored, cost, spans / max(len(origins), 1)
+        return tries, errored, (spent + errored * self.objective) / max(tries - errored, 0.1)
+
+    def answered(self, zone, servers, longest=CARRIED * S):
+        """Good answers a second to the proxies of a zone, by the last news of each server."""
+        lasts = [[x for x in s.samples if x[5] == zone and x[4] <= longest and self.now - x[0] <= FRESH][-1:]
+                 for s in servers]
+        return sum((n - bad) * S / max(span, 1) for _, n, bad, _, span, _ in chain.from_iterable(lasts))
 
     def pressure(self, zone, at, part=0.5):
         """Cost of a good answer to a zone's proxies at the zones `at`, by the objective; None without news.
 
         The middle one of the servers by tries: a few sick ones are the judge's matter, and no load."""
         figures = [self.figures(s, FELT, zone) for s in self.servers.values() if s.zone in at]
-        costs = sorted((cost, tries) for tries, _, cost, _ in figures if tries)
+        costs = sorted((cost, tries) for tries, _, cost in figures if tries)
         passed = list(accumulate(tries for _, tries in costs))
         if not passed or passed[-1] < ENOUGH:
             return None
@@ -238,7 +241,7 @@
             return
         usual = median(f[2] for f in seen)
         for name, server in live.items():
-            tries, errored, cost, _ = figures[name]
+            tries, errored, cost = figures[name]
             if server.doubted and 2 * errored > tries:  # list and tries agree
                 server.state = "gone"
             if tries < ENOUGH:
@@ -251,11 +254,10 @@
             self.mode(told, server.tuned < TOLD[told in self.modes], f"{errored} of {tries} tries errored,"
                       f" {cost / MS:.0f} ms a good answer, usual {usual / MS:.0f}")
         for zone in self.set.zones:
-            warm = [(n, s) for n, s in live.items() if s.zone == zone and not self.cold(s)]
-            weight = sum(s.weight for _, s in warm)
-            if weight:
-                good = sum((figures[n][0] - figures[n][1]) * S / max(figures[n][3], 1) for n, _ in warm)
-                self.carried[zone].append(good / weight)
+            warm = [s for s in live.values() if s.zone == zone and not self.cold(s)]
+            if warm:
+                good = sum(self.answered(origin, warm) for origin in self.set.zones)
+                self.carried[zone].append(good / max(sum(s.weight for s in warm), 0.001))
             at = [other for other in self.set.zones if not self.rests((zone, other))]
             felt = self.pressed[zone] = self.pressure(zone, at)
             for other in self.set.zones if felt is not None else ():
@@ -287,6 +289,7 @@
             rate = max(self.arriving(table.zone), 0.1)
             table.levels.append((table.level, rate))
             let = table.levels[0][0] * table.levels[0][1] / rate  # lets in now what was let in then
+            floor = ANSWERED * self.answered(table.zone, self.servers.values(), FRESH) / rate
             if felt > LET_AT:
                 table.tries = 0  # tries at full servers would double a flood at its start
             elif table.level == 1:
@@ -294,7 +297,7 @@
             spent = all(share > BORROWED or self.rests(way) for way, share in self.borrow.items()
                         if way[0] == table.zone)
             if felt > FLOOD or felt > SHED_AT and (table.local or spent):
-                table.level = min(table.level, max(let * max(SHED_AT / felt, LEVEL_DOWN), LEVEL_LEAST))
+                table.level = min(table.level, max(let * max(SHED_AT / felt, LEVEL_DOWN), floor, LEVEL_LEAST))
             elif felt < LET_AT:
                 table.level = max(table.level, min(let * min(LET_AT / felt, LEVEL_UP), 1.0))
             told = f"time {felt:.2f} of the objective"
@@ -413,9 +416,7 @@
             # what full servers turn away would be tried at cold ones: no further tries beside them
             tries = table.tries and not any(self.cold(self.servers[n]) for n in lines)
             lines[LEVEL] = level if tries else -level  # one figure: minus is no further try
-            before = dict(table.want)
-            for name in [n for n in table.want if n not in lines]:
-                table.want.pop(name)
+            before, table.want = table.want, {n: w for n, w in table.want.items() if n in lines}
             # by what was sent: a line may wait to be taken away when its server drains
             table.urgent |= any(self.servers[n].state != "ready" for n in table.sent.keys() - lines.keys())
             for name, weight in lines.items():
