Lay tables out when the list or a judgement moves them, not at every answer to a mark

Marks on every push bring an answer from every proxy, and each round worked out all tables anew, groups and proxies times servers. Now a round of answers costs no more than the answers; floors and pressures are worked out once a zone and second. Behaviour is meant to be the same but for ramps and weights moving at judgements alone.

--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -45,7 +45,6 @@
 NO_RATE = 1e6  # lets all in where levels are rates
 LEVEL = ""  # the key of a table's level among its lines; no server is called so
 SAFE = 0.4  # part of what the rule on cold servers lets through that a table plans for: speeds differ
-TOLD = 0.4, 0.8  # staff hear of a weight cut under the first, until it is back at the second
 CARRIED = 60  # judgements over which the most that a zone's servers carried is kept
 MOVE_AT = 1.2  # share of load / share of weight past which a group gives up proxies: later one group floods
 SEALS = 60_000  # marks are counted up to this and begin anew
@@ -132,13 +131,15 @@
         if self.set.slices:
             self.tend_slices()
         else:
-            self.form_groups()
-            if now - self.judged >= JUDGE_EVERY:
-                self.judged = now
-                self.judge()
-                self.levels()
-                self.move()
-            self.lay_out()
+            judging = now - self.judged >= JUDGE_EVERY
+            if judging or any(name == "listed" for name, _ in calls):  # else only answers to marks
+                self.form_groups()
+                if judging:
+                    self.judged = now
+                    self.judge()
+                    self.levels()
+                    self.move()
+                self.lay_out()
             self.push()
         if not self.armed and (self.proxies or self.retry_at is not None):  # one chain of timers
             self.armed = 1
@@ -200,16 +201,13 @@
 
     # -- health
 
-    def rests(self, way):
-        return self.now < self.rest.get(way, 0)
-
     def figures(self, server, fresh, zone=None):
         """Tries, errored and mean cost of a good answer (an errored try costs an objective), of late.
 
         From the proxies of one zone, or of all but those behind an ill way: they tell of the way."""
         tries = errored = spent = 0
         for when, n, bad, took, _, origin in server.samples:
-            counts = origin == zone if zone else not self.rests((origin, server.zone))
+            counts = origin == zone if zone else self.rest.get((origin, server.zone), 0) <= self.now
             if counts and self.now - when <= fresh:
                 tries, errored, spent = tries + n, errored + bad, spent + (n - bad) * took
         return tries, errored, (spent + errored * self.objective) / max(tries - errored, 0.1)
@@ -250,15 +248,14 @@
             most = 1.0 if self.cold(server) else TUNED[1]  # a server under little load looks fast
             target = min(max(usual / cost, TUNED[0]), most)
             server.tuned *= (target / server.tuned) ** STEP
-            told = f"cut {name}"
-            self.mode(told, server.tuned < TOLD[told in self.modes], f"{errored} of {tries} tries errored,"
+            self.mode(f"cut {name}", server.tuned < CUT, f"{errored} of {tries} tries errored,"
                       f" {cost / MS:.0f} ms a good answer, usual {usual / MS:.0f}")
         for zone in self.set.zones:
             warm = [s for s in live.values() if s.zone == zone and not self.cold(s)]
             if warm:
                 good = sum(self.answered(origin, warm) for origin in self.set.zones)
                 self.carried[zone].append(good / max(sum(s.weight for s in warm), 0.001))
-            at = [other for other in self.set.zones if not self.rests((zone, other))]
+            at = [other for other in self.set.zones if self.rest.get((zone, other), 0) <= self.now]
             felt = self.pressed[zone] = self.pressure(zone, at)
             for other in self.set.zones if felt is not None else ():
                 if other != zone:
@@ -271,7 +268,7 @@
         there = self.pressure(way[0], way[1:], 0.25)  # even its better servers
         if there is not None and there > FAR * max(felt, PRESSED):
             self.rest[way] = self.now + REST
-        rests = self.rests(way)
+        rests = self.rest[way] > self.now
         over = felt - PRESSED - BY_PRICE * self.set.cross_price
         want = 0.0 if rests else min(max(over / FULL_PRESS, 0.0), 1.0) ** BORROW_POWER
         step = BORROW_UP if rests or want > self.borrow[way] else BORROW_DOWN
@@ -282,27 +279,27 @@
 
     def levels(self):
         """Under pressure further tries go first, then levels; they come back in the opposite order."""
-        for table in self.all_tables():
-            felt = self.pressed[table.zone]
-            if felt is None or self.set.admission != "share":
+        for zone, felt in self.pressed.items() if self.set.admission == "share" else ():
+            if felt is None:
                 continue
-            rate = max(self.arriving(table.zone), 0.1)
-            table.levels.append((table.level, rate))
-            let = table.levels[0][0] * table.levels[0][1] / rate  # lets in now what was let in then
-            floor = ANSWERED * self.answered(table.zone, self.servers.values(), FRESH) / rate
-            if felt > LET_AT:
-                table.tries = 0  # tries at full servers would double a flood at its start
-            elif table.level == 1:
-                table.tries = self.tries
-            spent = all(share > BORROWED or self.rests(way) for way, share in self.borrow.items()
-                        if way[0] == table.zone)
-            if felt > FLOOD or felt > SHED_AT and (table.local or spent):
-                table.level = min(table.level, max(let * max(SHED_AT / felt, LEVEL_DOWN), floor, LEVEL_LEAST))
-            elif felt < LET_AT:
-                table.level = max(table.level, min(let * min(LET_AT / felt, LEVEL_UP), 1.0))
-            told = f"time {felt:.2f} of the objective"
-            self.mode(f"no further tries {table.zone} {table.number}", table.tries < self.tries, told)
-            self.mode(f"level {table.zone} {table.number}", table.level < 1, f"{table.level:.2f}, {told}")
+            rate = max(self.arriving(zone), 0.1)
+            floor = max(ANSWERED * self.answered(zone, self.servers.values(), FRESH) / rate, LEVEL_LEAST)
+            spent = all(share > BORROWED or self.rest[way] > self.now for way, share in self.borrow.items()
+                        if way[0] == zone)
+            for table in [t for t in self.all_tables() if t.zone == zone]:
+                table.levels.append((table.level, rate))
+                let = table.levels[0][0] * table.levels[0][1] / rate  # lets in now what was let in then
+                if felt > LET_AT:
+                    table.tries = 0  # tries at full servers would double a flood at its start
+                elif table.level == 1:
+                    table.tries = self.tries
+                if felt > FLOOD or felt > SHED_AT and (table.local or spent):
+                    table.level = min(table.level, max(let * max(SHED_AT / felt, LEVEL_DOWN), floor))
+                elif felt < LET_AT:
+                    table.level = max(table.level, min(let * min(LET_AT / felt, LEVEL_UP), 1.0))
+                told = f"time {felt:.2f} of the objective"
+                self.mode(f"no further tries {zone} {table.number}", table.tries < self.tries, told)
+                self.mode(f"level {zone} {table.number}", table.level < 1, f"{table.level:.2f}, {told}")
 
     def mode(self, name, on, figures):
         """One line for the staff when a mode changes, with the figures that caused it."""
@@ -464,8 +461,10 @@
     def push(self):
         for (zone, group), tables in self.tables.items():
             # the tables of a group go to the same proxies: one message for both
-            bound = [p for p, proxy in self.proxies.items() if (proxy.zone, proxy.group) == (zone, group)]
             changed = [t for t in tables if t.first is not None]
+            if not changed:
+                continue
+            bound = [p for p, proxy in self.proxies.items() if (proxy.zone, proxy.group) == (zone, group)]
             due = any(self.now - t.pushed >= TABLE_EVERY
                       and (self.now - t.last >= QUIET or self.now - t.first >= QUIET_CAP) for t in changed)
             if any(t.urgent for t in changed):
