--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -22,7 +22,7 @@
 SAMPLES, FRESH = 10, 2500 * MS  # reports kept of a server; beyond its span one counts for so long
 ENOUGH = 6  # tries below which a server's figures are chance
 JUDGE_EVERY = 1 * S  # reports are a second or two late: judging more often acts twice on the same news
-FAR = 1.8  # a way over which even good servers cost this many times the usual is ill
+FAR = 1.8  # a way over which even good servers cost this many times the usual is ill, a calm usual apart
 STEP = 0.25  # part of the way (in logarithms) to its target that a weight goes in one judgement: news is late
 BORROW_UP, BORROW_DOWN = 0.6, 0.05  # parts of its way that borrowing goes in a judgement: causes tend to stay
 TUNED = (0.25, 1.3)  # bounds of the correction by measured time: deeper cuts come back too slowly
@@ -266,7 +266,7 @@
 
         A slow or lossy way makes even the better servers behind it look bad; sick ones are but some."""
         there = self.pressure(way[0], way[1:], 0.25)  # even its better servers
-        if there is not None and there > FAR * max(felt, PRESSED):
+        if there is not None and there > FAR * max(felt, LET_AT):
             self.rest[way] = self.now + REST
         rests = self.rest[way] > self.now
         over = felt - PRESSED - BY_PRICE * self.set.cross_price
