--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -334,7 +334,7 @@
         rate = self.arriving(table.zone) * table.level
         may = {n: self.allowed(self.servers[n]) / max(rate, 0.1) for n in cold}
         total, warm = sum(may.values()), sum(w for n, w in lines.items() if n not in may)
-        known = self.carried[table.zone]  # after a start nothing is: the zone may be flooded
+        known = len(self.carried[table.zone]) >= LEVEL_LAG  # first news is of the first to join
         if self.set.avoids_after and warm and (not known or (self.pressed[table.zone] or 0) > FLOOD):
             for name in may:  # proxies will soon avoid the failing others: a small line would be everything
                 del lines[name]
