Reread: one test for a way that rests, a zone's size only when needed, comments that fit

The test whether a way rests stood in four forms; ways of a zone were listed by a loop that the ways already are; a zone's size was added up for every cold server though only a planner without news needs it; four comments told of marks that have moved.

--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -4,7 +4,7 @@
 order, as (name, arguments); decisions go straight into `writer`. Calls, settings and writer are described
 in `swiftchute/interface.py`, the mechanism and its exceptions in `docs/design.md`.
 
-A round: take in the calls -> judge health -> lay out the tables -> levels -> bind and push.
+A round: take in the calls -> judge health, levels, moves -> lay out the tables -> push and bind.
 """
 
 import random
@@ -27,14 +27,14 @@
 BORROW_UP, BORROW_DOWN = 0.6, 0.05  # parts of its way that borrowing goes in a judgement: causes tend to stay
 TUNED = (0.25, 1.3)  # bounds of the correction by measured time: deeper cuts come back too slowly
 WORTH_SENDING, LEVEL_WORTH = 0.12, 0.04  # a weight or level that moves by less than this part stays as sent
-CUT = 0.5  # a weight that falls under this part of itself goes out at once: restarts, mostly
+CUT = 0.5  # a weight that falls under this part of itself goes out at once; staff hear of cuts under it
 RETURN = 1.15  # no evidence is not good evidence: a cut weight without tries grows by this until it has some
 PRESSED, BY_PRICE = 0.12, 0.6  # time / objective from which a zone borrows: later by the crossing's price
 BORROW_POWER = 1.5  # little at first: on calm days work stays in its zone
 FULL_PRESS = 0.28  # and how much above that it borrows in full
 BORROW_LEAST = 0.05  # borrowing under this is not worth its lines
 BORROWED = 0.8  # levels wait until a zone borrows at least so much: other zones may have room
-FELT = 1 * S  # the same for a zone's pressure: levels need fresher news than weights
+FELT = 1 * S  # what FRESH is to weights, for a zone's pressure: levels need fresher news
 REST = 12 * S  # a way that was found ill is not borrowed over again for so long
 SHED_AT, LET_AT = 0.4, 0.35  # mean time / objective above which levels fall, and below which they rise
 FLOOD = 1.0  # and above which tries and levels fall together: what is sent now will mostly be late
@@ -158,7 +158,7 @@
         if scope in ("whole", "held"):
             named = {e[0] for e in entries}
             entries = [*entries] + [(n, s.zone, "", 0, "gone", s.weight, s.started)
-                        for n, s in self.servers.items() if n not in named]
+                                    for n, s in self.servers.items() if n not in named]
         for entry in entries:
             known = self.servers.get(entry[0])
             if known is None or entry[6] != known.started:  # a restart: what was measured is void
@@ -201,13 +201,16 @@
 
     # -- health
 
+    def rests(self, way):
+        return self.rest.get(way, 0) > self.now
+
     def figures(self, server, fresh, zone=None):
         """Tries, errored and mean cost of a good answer (an errored try costs an objective), of late.
 
         From the proxies of one zone, or of all but those behind an ill way: they tell of the way."""
         tries = errored = spent = 0
         for when, n, bad, took, _, origin in server.samples:
-            counts = origin == zone if zone else self.rest.get((origin, server.zone), 0) <= self.now
+            counts = origin == zone if zone else not self.rests((origin, server.zone))
             if counts and self.now - when <= fresh:
                 tries, errored, spent = tries + n, errored + bad, spent + (n - bad) * took
         return tries, errored, (spent + errored * self.objective) / max(tries - errored, 0.1)
@@ -255,11 +258,10 @@
             if warm:
                 good = sum(self.answered(origin, warm) for origin in self.set.zones)
                 self.carried[zone].append(good / max(sum(s.weight for s in warm), 0.001))
-            at = [other for other in self.set.zones if self.rest.get((zone, other), 0) <= self.now]
+            at = [other for other in self.set.zones if not self.rests((zone, other))]
             felt = self.pressed[zone] = self.pressure(zone, at)
-            for other in self.set.zones if felt is not None else ():
-                if other != zone:
-                    self.judge_way((zone, other), felt)
+            for way in [way for way in self.borrow if way[0] == zone and felt is not None]:
+                self.judge_way(way, felt)
 
     def judge_way(self, way, felt):
         """How much a pressed zone borrows of another: nothing while its proxies fare far worse there.
@@ -268,7 +270,7 @@
         there = self.pressure(way[0], way[1:], 0.25)  # even its better servers
         if there is not None and there > FAR * max(felt, LET_AT):
             self.rest[way] = self.now + REST
-        rests = self.rest[way] > self.now
+        rests = self.rests(way)
         over = felt - PRESSED - BY_PRICE * self.set.cross_price
         want = 0.0 if rests else min(max(over / FULL_PRESS, 0.0), 1.0) ** BORROW_POWER
         step = BORROW_UP if rests or want > self.borrow[way] else BORROW_DOWN
@@ -284,8 +286,7 @@
                 continue
             rate = max(self.arriving(zone), 0.1)
             floor = max(ANSWERED * self.answered(zone, self.servers.values(), FRESH) / rate, LEVEL_LEAST)
-            spent = all(share > BORROWED or self.rest[way] > self.now for way, share in self.borrow.items()
-                        if way[0] == zone)
+            spent = all(self.borrow[w] > BORROWED or self.rests(w) for w in self.borrow if w[0] == zone)
             for table in [t for t in self.all_tables() if t.zone == zone]:
                 table.levels.append((table.level, rate))
                 let = table.levels[0][0] * table.levels[0][1] / rate  # lets in now what was let in then
@@ -321,8 +322,8 @@
 
         The most that its zone's servers carried of late stands for a full capacity; before any report,
         what the proxies said at joining does."""
-        size = max(sum(s.weight for s in self.servers.values() if s.zone == server.zone), 1)
-        carried = max(self.carried.get(server.zone, [0]), default=0) or self.arriving(server.zone) / size
+        carried = max(self.carried.get(server.zone, ()), default=0) or self.arriving(server.zone) / max(
+            sum(s.weight for s in self.servers.values() if s.zone == server.zone), 1)
         now = self.set.start_capacity + (1 - self.set.start_capacity) * self.warmth(server)
         return SAFE * self.set.fall_multiple * now * carried * server.weight
 
@@ -378,7 +379,7 @@
         return loads
 
     def move(self):
-        """Past the design's mark a group gives up proxies of ours, the largest that fit its excess."""
+        """Past its mark a group gives up proxies of ours, the largest that fit its excess."""
         for zone in self.set.zones:
             loads = self.loads(zone)
             total, weights = sum(load for load, _ in loads), sum(weight for _, weight in loads)
