Run the module as a planner: HCL settings, lists, ADS in both forms, LRS, a paced channel

The users want the program itself, and ask that it speak xDS from its first landing.

swiftchute serve CONFIG.hcl runs one planner on uvloop: settings in HCL with every problem named by file, line and field; lists as Prometheus file_sd or http_sd; StreamAggregatedResources and DeltaAggregatedResources with LEDS for changed lines; load reports as the module's sums; a channel paced in lines. The protocol, the channel, the sums and the planner's round are free of I/O. Stand-in workers and gateways follow for the drills.

--- /dev/null
+++ b/swiftchute/planner/service.py
@@ -0,0 +1,119 @@
+"""A planner as a process: its core, the event loop that turns it, the list's source and the xDS front."""
+
+import asyncio
+import signal
+import time
+from typing import Any
+
+from swiftchute.config import Config
+from swiftchute.observe.log import mode_fields
+from swiftchute.planner.core import Core, Out
+from swiftchute.policy import Planner
+from swiftchute.registry.lists import BadList, Registry
+from swiftchute.registry.sources import FileSource, HttpSource
+from swiftchute.xds.shell import Front
+
+S = 1_000_000_000
+ROUND = 5_000_000  # what comes in within so long makes one round, as in the bench's rounds
+_WARN = ("module fault", "module waits", "table refused", "proxy silent", "channel full", "stood still")
+
+
+class Service:
+    """Runs one planner until it is told to stop."""
+
+    def __init__(self, config: Config, log: Any, make: Any = Planner) -> None:
+        """`make` builds the deciding module."""
+        self.config, self.log = config, log
+        self.clock = time.monotonic_ns
+        now = self.clock()
+        self.core = Core(
+            config.settings,
+            config.seed,
+            int(time.time() * 1000),
+            make,
+            config.xds["ack_within"],
+            config.xds["proxy_rate"],
+            config.xds["streams"],
+            now,
+        )
+        self.registry = Registry(config.settings.zones, time.time_ns() - now)
+        self.front = Front(self.core, config.settings, config.xds, self.kick, self.clock, log)
+        self.handle: asyncio.TimerHandle | None = None
+        self.at = 0
+        self.address: tuple[str, int] | None = None
+        self.source = self._source(config)
+
+    def _source(self, config: Config) -> FileSource | HttpSource:
+        of = config.list
+        if config.list_kind == "file":
+            return FileSource(of["path"], of["every"], self._took, self._failed)
+        return HttpSource(of["url"], of["every"], of["timeout"], self._took, self._failed, config.seed)
+
+    def _took(self, text: bytes) -> None:
+        try:
+            news = self.registry.read(text)
+        except BadList as why:
+            self.log.warning(
+                "list refused", cause=str(why), kept=len(self.registry.held), bad=self.registry.bad
+            )
+            return
+        if news is None:
+            return
+        for passed in news.passed[:16]:
+            self.log.warning("entry passed over", cause=passed)
+        self.log.info("list", scope=news.scope, entries=len(news.entries), passed=len(news.passed))
+        self.core.listed(news)
+        self.kick()
+
+    def _failed(self, cause: str) -> None:
+        self.registry.bad += 1
+        self.log.warning("list unreadable", cause=cause, kept=len(self.registry.held), bad=self.registry.bad)
+
+    def kick(self) -> None:
+        """Something came in: have a turn soon."""
+        self._plan(self.clock() + ROUND)
+
+    def _plan(self, when: int) -> None:
+        if self.handle is not None:
+            if self.at <= when:
+                return
+            self.handle.cancel()
+        self.at = when
+        self.handle = asyncio.get_running_loop().call_later(max(when - self.clock(), 0) / S, self._turn)
+
+    def _turn(self) -> None:
+        self.handle = None
+        out = self.core.turn(self.clock())
+        self.front.carry_out(out)
+        self._events(out)
+        self._plan(max(self.core.due, self.clock() + 1_000_000))
+
+    def _events(self, out: Out) -> None:
+        for event, fields in out.events:
+            if event == "mode":
+                fields = mode_fields(fields["text"])
+            (self.log.warning if event in _WARN else self.log.info)(event, **fields)
+
+    async def run(self, ready: Any = None) -> None:
+        """Serve until SIGTERM or SIGINT; `ready(address)` is called once streams are taken."""
+        stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, stop.set)
+        self.address = await self.front.start()
+        source = asyncio.ensure_future(self.source.run())
+        self.log.info("serving", address=f"{self.address[0]}:{self.address[1]}")
+        if ready is not None:
+            ready(self.address)
+        self.kick()
+        stopped = asyncio.ensure_future(stop.wait())
+        try:
+            await asyncio.wait([stopped, source], return_when=asyncio.FIRST_COMPLETED)
+            if source.done():
+                source.result()
+        finally:
+            source.cancel()
+            stopped.cancel()
+            if self.handle is not None:
+                self.handle.cancel()
+            await self.front.stop()
+            self.log.info("stopped", counts=self.core.counts)
--- /dev/null
+++ b/swiftchute/registry/__init__.py
@@ -0,0 +1,1 @@
+"""Server lists: their published forms, the last good list, and the sources that read them."""
--- /dev/null
+++ b/swiftchute/standin/gateway.py
@@ -0,0 +1,306 @@
+"""A stand-in gateway: dials planners, follows its tables, calls workers, reports what it met.
+
+It records what passes on its sockets: each response as it was received (`Order`), each try as it was sent
+(`Try`),
+and when its streams opened and broke. The checker of a drill reads these and nothing of a planner's.
+"""
+
+import asyncio
+import contextlib
+import random
+import time
+from dataclasses import dataclass, field
+
+from grpclib.client import Channel
+from grpclib.config import Configuration
+from grpclib.const import Cardinality, Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from swiftchute.standin.client import Client, Table
+from swiftchute.standin.worker import SERVICE
+from swiftchute.xds.shell import ADS, LRS, Raw
+
+LOST = (GRPCError, StreamTerminatedError, ConnectionError, OSError, asyncio.TimeoutError)
+RECORD_MOST = 500_000
+AVOID = 3.0  # seconds that a server is avoided after a run of failures
+
+
+@dataclass(frozen=True)
+class Order:
+    """A response as it came from the socket, on the gateway's n-th stream, to the planner at `planner`."""
+
+    at: int
+    gateway: str
+    stream: int
+    planner: str
+    delta: bool
+    data: bytes
+
+
+@dataclass(frozen=True)
+class Try:
+    """A try as it went to a worker, and how it ended."""
+
+    at: int
+    gateway: str
+    server: str
+    operation: str
+    inv: str
+    attempt: int
+    end: str
+    took: float
+
+
+@dataclass(frozen=True)
+class Stream:
+    """A stream that opened (`on`) or broke."""
+
+    at: int
+    gateway: str
+    stream: int
+    planner: str
+    on: bool
+
+
+@dataclass
+class Record:
+    """What passed on a gateway's sockets, bounded; `lost` counts what was past the bound."""
+
+    orders: list[Order] = field(default_factory=list)
+    tries: list[Try] = field(default_factory=list)
+    streams: list[Stream] = field(default_factory=list)
+    bare: list[tuple[int, str, str]] = field(default_factory=list)  # invocations that found no line
+    ends: dict[str, int] = field(default_factory=dict)
+    lost: int = 0
+
+    def add(self, rows: list, row: object) -> None:
+        """Keep a row, or count it as lost."""
+        if len(rows) < RECORD_MOST:
+            rows.append(row)
+        else:
+            self.lost += 1
+
+
+class Gateway:
+    """One gateway. `planners` are addresses in the order of dialling."""
+
+    def __init__(
+        self,
+        client: Client,
+        planners: list[tuple[str, int]],
+        seed: int,
+        avoids_after: int = 5,
+        redial: tuple[float, float] = (0.1, 0.6),
+        keepalive: float = 1.0,
+    ) -> None:
+        """`redial` bounds the wait before dialling again, `keepalive` how soon a planner that stands
+        still is left."""
+        self.client, self.planners, self.random = client, planners, random.Random(seed)
+        self.avoids_after, self.redial, self.keepalive = avoids_after, redial, keepalive
+        self.record = Record()
+        self.channels: dict[str, Channel] = {}
+        self.runs: dict[str, int] = {}
+        self.avoided: dict[str, float] = {}
+        self.tasks: list[asyncio.Task] = []
+        self.count = self.streams = 0
+        self.reading = asyncio.Event()  # cleared: it stops reading its stream
+        self.reading.set()
+        self.ack_delay = 0.0
+        self.link: Channel | None = None
+        self.at = self.random.randrange(len(planners))
+        self.joined: str | None = None
+        self.waiting = 0
+
+    # -- streams
+
+    def start(self) -> None:
+        """Dial and go on until `stop`."""
+        self.tasks = [asyncio.ensure_future(self._dial())]
+
+    async def stop(self) -> None:
+        """End everything."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for channel in [*self.channels.values(), *([self.link] if self.link else [])]:
+            channel.close()
+
+    def cut(self) -> None:
+        """Break the stream from this side."""
+        if self.link is not None:
+            self.link.close()
+
+    async def _dial(self) -> None:
+        while True:
+            host, port = self.planners[self.at % len(self.planners)]
+            config = Configuration(
+                _keepalive_time=self.keepalive,
+                _keepalive_timeout=self.keepalive,
+                _keepalive_permit_without_calls=True,
+                _http2_max_pings_without_data=0,
+                _http2_min_sent_ping_interval_without_data=self.keepalive / 2,
+            )
+            self.link = Channel(host, port, codec=Raw(), config=config)
+            reports = None
+            self.streams += 1
+            mine = self.streams
+            try:
+                async with asyncio.timeout(2):
+                    await self.link.__connect__()
+                reports = asyncio.ensure_future(self._reports(self.link))
+                await self._stream(self.link, f"{host}:{port}", mine)
+            except LOST:
+                pass
+            finally:
+                if self.joined:
+                    self.record.add(
+                        self.record.streams,
+                        Stream(time.monotonic_ns(), self.client.node, mine, self.joined, False),
+                    )
+                self.joined = None
+                if reports:
+                    reports.cancel()
+                    with contextlib.suppress(asyncio.CancelledError, *LOST):
+                        await reports
+                self.link.close()
+            self.at += 1
+            await asyncio.sleep(self.random.uniform(*self.redial))
+
+    async def _stream(self, link: Channel, planner: str, mine: int) -> None:
+        form = "DeltaAggregatedResources" if self.client.delta else "StreamAggregatedResources"
+        async with link.request(ADS + form, Cardinality.STREAM_STREAM, bytes, bytes) as stream:
+            await stream.send_request()
+            for request in self.client.hello(fresh=not self.client.tables):
+                await stream.send_message(request)
+            self.joined = planner
+            self.record.add(
+                self.record.streams, Stream(time.monotonic_ns(), self.client.node, mine, planner, True)
+            )
+            while True:
+                await self.reading.wait()
+                data = await stream.recv_message()
+                if data is None:
+                    return
+                self.record.add(
+                    self.record.orders,
+                    Order(time.monotonic_ns(), self.client.node, mine, planner, self.client.delta, data),
+                )
+                answers = self.client.receive(data)
+                if self.ack_delay:
+                    await asyncio.sleep(self.ack_delay)
+                for answer in answers:
+                    await stream.send_message(answer)
+
+    async def _reports(self, link: Channel) -> None:
+        async with link.request(LRS, Cardinality.STREAM_STREAM, bytes, bytes) as stream:
+            await stream.send_request()
+            await stream.send_message(self.client.report(0, first=True))
+            answer = await stream.recv_message()
+            if answer is None:
+                return
+            from envoy.service.load_stats.v3.lrs_pb2 import LoadStatsResponse
+
+            every = LoadStatsResponse.FromString(answer).load_reporting_interval.ToNanoseconds() / 1e9
+            while True:
+                await asyncio.sleep(max(every, 0.05))
+                await stream.send_message(self.client.report(every))
+
+    # -- invocations
+
+    async def load(self, operation: str, rate: float, seconds: float) -> None:
+        """Invocations at random, `rate` a second on average; at most 200 are in hand at once."""
+        until = time.monotonic() + seconds
+        while (now := time.monotonic()) < until:
+            await asyncio.sleep(min(self.random.expovariate(rate), until - now + 0.001))
+            if self.waiting < 200:
+                self.waiting += 1
+                task = asyncio.ensure_future(self.invoke(operation))
+                task.add_done_callback(self._done)
+            else:
+                self._end("gateway full")
+
+    def _done(self, task: asyncio.Future) -> None:
+        self.waiting -= 1
+        if not task.cancelled() and task.exception():
+            self._end(f"fault {task.exception()!r}"[:80])
+
+    def _end(self, end: str) -> str:
+        self.record.ends[end] = self.record.ends.get(end, 0) + 1
+        return end
+
+    def pick(self, table: Table, but: set[str]) -> str | None:
+        """A line by weight, past those avoided while there are others."""
+        now = time.monotonic()
+        lines = {s: w for s, w in table.lines.items() if s not in but}
+        well = {s: w for s, w in lines.items() if self.avoided.get(s, 0) <= now} or lines
+        return self.random.choices(list(well), list(well.values()))[0] if well else None
+
+    async def invoke(self, operation: str, timeout: float = 4.0) -> str:
+        """One invocation: returns how it ended."""
+        self.count += 1
+        inv = f"{self.client.node}-{self.count}"
+        table = self.client.table(operation)
+        if table is None or not table.lines:
+            self.record.add(self.record.bare, (time.monotonic_ns(), self.client.node, operation))
+            return self._end("no line")
+        if self.random.random() >= table.level:
+            self.client.dropped(table.cluster)
+            return self._end("rate-limited")
+        tried: set[str] = set()
+        end, until = "errored", time.monotonic() + timeout
+        for attempt in range(table.tries + 1):
+            server = self.pick(table, tried)
+            if server is None or time.monotonic() >= until:
+                break
+            tried.add(server)
+            left = until - time.monotonic()
+            last = attempt == table.tries
+            end, ran = await self._try(
+                table.cluster,
+                server,
+                operation,
+                inv,
+                attempt,
+                left if last or not table.per_try else min(left, table.per_try),
+            )
+            if end == "succeeded" or (table.sure and ran):
+                break
+        return self._end(end)
+
+    async def _try(
+        self, cluster: str, server: str, operation: str, inv: str, attempt: int, timeout: float
+    ) -> tuple[str, bool]:
+        """One try: how it ended, and whether it may have run (False only on proof: no connection was
+        made)."""
+        began, ran, end = time.monotonic(), False, "errored"
+        host, _, port = server.rpartition(":")
+        channel = self.channels.get(server)
+        if channel is None:
+            channel = self.channels[server] = Channel(host, int(port), codec=Raw())
+        at = time.monotonic_ns()
+        try:
+            async with asyncio.timeout(timeout):
+                await channel.__connect__()
+                ran = True
+                async with channel.request(
+                    SERVICE + operation, Cardinality.UNARY_UNARY, bytes, bytes, timeout=timeout
+                ) as stream:
+                    await stream.send_message(f"{inv}|{attempt}|{self.client.node}".encode(), end=True)
+                    await stream.recv_message()
+                    await stream.recv_trailing_metadata()
+                    end = "succeeded"
+        except GRPCError as why:
+            end = "full" if why.status is Status.RESOURCE_EXHAUSTED else "errored"
+        except TimeoutError:
+            end = "late"
+        except LOST:
+            end = "broken" if ran else "unreachable"
+        took = time.monotonic() - began
+        self.client.met(cluster, server, end == "succeeded", took)
+        self.runs[server] = 0 if end == "succeeded" else self.runs.get(server, 0) + 1
+        if self.avoids_after and self.runs[server] >= self.avoids_after:
+            self.runs[server], self.avoided[server] = 0, time.monotonic() + AVOID
+        self.record.add(
+            self.record.tries, Try(at, self.client.node, server, operation, inv, attempt, end, took)
+        )
+        return end, ran
--- /dev/null
+++ b/swiftchute/xds/__init__.py
@@ -0,0 +1,2 @@
+"""The xDS front (transport API v3): translation, one state machine a stream, sums of load reports, a
+gRPC shell."""
--- /dev/null
+++ b/swiftchute/xds/messages.py
@@ -0,0 +1,127 @@
+"""Requests and replies of both forms of ADS, between the wire's bytes and plain dataclasses.
+
+Source: envoy/service/discovery/v3/discovery.proto. Bytes that are no such message raise `Violation`.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from functools import lru_cache
+
+from envoy.config.core.v3.base_pb2 import Node
+from envoy.service.discovery.v3.discovery_pb2 import (
+    DeltaDiscoveryRequest,
+    DeltaDiscoveryResponse,
+    DiscoveryRequest,
+    DiscoveryResponse,
+)
+from google.protobuf.message import DecodeError
+
+from swiftchute.xds.resources import Resource
+
+
+class Violation(Exception):
+    """The client is at fault: a gRPC status by name and what it did. The stream ends with it."""
+
+    def __init__(self, status: str, text: str) -> None:
+        super().__init__(text)
+        self.status, self.text = status, text
+
+
+@dataclass(frozen=True)
+class Peer:
+    """Who a stream belongs to: `Node.id`, its zone, invocations a second it expects, and what it can do."""
+
+    node: str
+    zone: str
+    rate: float | None
+    fresh: bool
+    features: frozenset[str]
+
+
+@dataclass(frozen=True)
+class Request:
+    """A request of either form; a SotW one has `names`, a delta one has `subscribe` and `unsubscribe`."""
+
+    kind: str
+    nonce: str = ""
+    error: str | None = None
+    names: tuple[str, ...] = ()
+    subscribe: tuple[str, ...] = ()
+    unsubscribe: tuple[str, ...] = ()
+    initial: Mapping[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Reply:
+    """A response of either form; `removed` is of the delta form only."""
+
+    kind: str
+    version: str
+    nonce: str
+    resources: tuple[Resource, ...]
+    removed: tuple[str, ...] = ()
+
+
+def peer(node: Node, zones: tuple[str, ...]) -> Peer:
+    """Read a node; one without id or of a zone that is not served is a `Violation`."""
+    if not node.id:
+        raise Violation("INVALID_ARGUMENT", "the first request carries no node id")
+    if len(node.id) > 256:
+        raise Violation("INVALID_ARGUMENT", f"node id of {len(node.id)} characters; 256 at most")
+    if node.locality.zone not in zones:
+        raise Violation(
+            "INVALID_ARGUMENT",
+            f"node {node.id}: zone {node.locality.zone[:64]!r} is none of {', '.join(zones)}",
+        )
+    rate = node.metadata.fields["rate"].number_value if "rate" in node.metadata.fields else 0.0
+    fresh = "fresh" not in node.metadata.fields or node.metadata.fields["fresh"].bool_value
+    known = rate if 0 < rate < 1e9 else None
+    return Peer(node.id, node.locality.zone, known, fresh, frozenset(node.client_features))
+
+
+def decode(data: bytes, delta: bool) -> tuple[Request, Node]:
+    """Bytes of a request; the node may be empty after the first on a stream."""
+    message = DeltaDiscoveryRequest() if delta else DiscoveryRequest()
+    try:
+        message.ParseFromString(data)
+    except DecodeError:
+        raise Violation(
+            "INVALID_ARGUMENT", f"{len(data)} bytes that are no {type(message).__name__}"
+        ) from None
+    error = message.error_detail.message[:500] if message.HasField("error_detail") else None
+    if delta:
+        return Request(
+            message.type_url,
+            message.response_nonce,
+            error,
+            subscribe=tuple(message.resource_names_subscribe),
+            unsubscribe=tuple(message.resource_names_unsubscribe),
+            initial=dict(message.initial_resource_versions),
+        ), message.node
+    return Request(
+        message.type_url, message.response_nonce, error, names=tuple(message.resource_names)
+    ), message.node
+
+
+@lru_cache(maxsize=1024)
+def _body(
+    kind: str, delta: bool, version: str, resources: tuple[Resource, ...], removed: tuple[str, ...]
+) -> bytes:
+    """All of a response but its nonce: the same for every proxy of a group, so it is encoded once a push."""
+    if not delta:
+        made = DiscoveryResponse(version_info=version, type_url=kind)
+        for resource in resources:
+            made.resources.add(type_url=resource.kind, value=resource.body)
+        return made.SerializeToString()
+    made = DeltaDiscoveryResponse(system_version_info=version, type_url=kind, removed_resources=removed)
+    for resource in resources:
+        added = made.resources.add(name=resource.name, version=resource.version)
+        added.resource.type_url, added.resource.value = resource.kind, resource.body
+    return made.SerializeToString()
+
+
+def encode(reply: Reply, delta: bool) -> bytes:
+    """Bytes of a response. Fields of a message may come in pieces and in any order (protobuf encoding
+    page)."""
+    nonce = DeltaDiscoveryResponse(nonce=reply.nonce) if delta else DiscoveryResponse(nonce=reply.nonce)
+    return _body(reply.kind, delta, reply.version, reply.resources, reply.removed) + nonce.SerializeToString()
--- /dev/null
+++ b/swiftchute/xds/names.py
@@ -0,0 +1,55 @@
+"""Type URLs of the resources served, their order, and the names by which tables are known to proxies.
+
+Types are ordered make before break: clusters, endpoints, lines, then listeners and routes
+(xDS protocol page, "Eventual consistency considerations").
+"""
+
+PREFIX = "type.googleapis.com/"
+CDS = PREFIX + "envoy.config.cluster.v3.Cluster"
+EDS = PREFIX + "envoy.config.endpoint.v3.ClusterLoadAssignment"
+LEDS = PREFIX + "envoy.config.endpoint.v3.LbEndpoint"
+LDS = PREFIX + "envoy.config.listener.v3.Listener"
+RDS = PREFIX + "envoy.config.route.v3.RouteConfiguration"
+ORDER = (CDS, EDS, LEDS, LDS, RDS)
+WHOLE = (LDS, CDS)  # SotW answers hold the whole state of these: what is not named is gone
+SHORT = {CDS: "cds", EDS: "eds", LEDS: "leds", LDS: "lds", RDS: "rds"}
+
+# A proxy that takes endpoints line by line says so in Node.client_features.
+LINES_FEATURE = "swiftchute.leds"
+# EDS resource of the servers shut out for proxies that still hold tables of their own or of another planner.
+WITHDRAWN = "withdrawn"
+_COLLECTION = (
+    "xdstp:///envoy.config.endpoint.v3.LbEndpoint/"  # xDS name scheme (xRFC TP1), a glob collection a zone
+)
+
+
+def table_name(planner: int, table: int) -> str:
+    """The EDS name of a table: the planner is in it, as planners that share nothing number their
+    tables alike."""
+    return f"{planner}.{table}"
+
+
+def cluster_name(table: str, operation: str) -> str:
+    """The cluster of one operation on a table; load reports name it, so sums are told apart by operation."""
+    return f"{table}/{operation}"
+
+
+def operation_of(cluster: str) -> str:
+    """The operation a cluster's name ends in; "" if it has none."""
+    return cluster.partition("/")[2]
+
+
+def collection(table: str, zone: str) -> str:
+    """The glob collection of a table's lines in a zone."""
+    return f"{_COLLECTION}{table}/{zone}/*"
+
+
+def line_name(table: str, zone: str, server: str) -> str:
+    """The name of one line, within its collection."""
+    return f"{_COLLECTION}{table}/{zone}/{server}"
+
+
+def line_parts(name: str) -> tuple[str, str, str] | None:
+    """(table, zone, server) of a line's name, or None."""
+    parts = name.removeprefix(_COLLECTION).split("/", 2)
+    return tuple(parts) if name.startswith(_COLLECTION) and len(parts) == 3 else None
--- /dev/null
+++ b/swiftchute/xds/resources.py
@@ -0,0 +1,304 @@
+"""Tables into xDS resources: no I/O, no clock.
+
+`Translator(settings).wanted(tables, bound, withdrawn, lines)` gives all resources that a proxy with these
+bindings
+should hold, as {type URL: {name: Resource}}. Resources are immutable and shared: a table's content is
+encoded once a
+change, whatever number of proxies hold it (the document's "one push context between them").
+
+A line is a locality of its own (zone, and the server as sub-zone), with the line's weight as the locality's:
+clients
+that pick localities by weight then follow the table exactly, whatever their policy for endpoints within one,
+and load
+reports, which every client makes by locality, tell servers apart. A client that takes lines one by one
+(LEDS) is given
+a locality a zone, with a collection of lines.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from functools import lru_cache
+
+import xxhash
+from envoy.config.cluster.v3.cluster_pb2 import Cluster
+from envoy.config.core.v3.address_pb2 import Address, SocketAddress
+from envoy.config.core.v3.base_pb2 import Locality
+from envoy.config.core.v3.config_source_pb2 import AggregatedConfigSource, ConfigSource
+from envoy.config.core.v3.health_check_pb2 import DRAINING
+from envoy.config.endpoint.v3.endpoint_components_pb2 import (
+    Endpoint,
+    LbEndpoint,
+    LedsClusterLocalityConfig,
+    LocalityLbEndpoints,
+)
+from envoy.config.endpoint.v3.endpoint_pb2 import ClusterLoadAssignment
+from envoy.config.listener.v3.api_listener_pb2 import ApiListener
+from envoy.config.listener.v3.listener_pb2 import Listener
+from envoy.config.route.v3.route_components_pb2 import (
+    RetryPolicy,
+    Route,
+    RouteAction,
+    RouteMatch,
+    VirtualHost,
+)
+from envoy.config.route.v3.route_pb2 import RouteConfiguration
+from envoy.extensions.filters.http.router.v3.router_pb2 import Router
+from envoy.extensions.filters.network.http_connection_manager.v3.http_connection_manager_pb2 import (
+    HttpConnectionManager,
+    HttpFilter,
+    Rds,
+)
+from envoy.type.v3.percent_pb2 import FractionalPercent
+from google.protobuf.any_pb2 import Any as Packed
+from google.protobuf.duration_pb2 import Duration
+from google.protobuf.message import Message
+from google.protobuf.wrappers_pb2 import UInt32Value
+
+from swiftchute.interface import Operation, Settings
+from swiftchute.xds import names
+
+WEIGHT_UNIT = 10_000  # the module's weights have four decimals; xDS takes whole numbers of 1 or more
+WEIGHT_SUM = 2**32 - 1  # the weights of a priority may not add up to more (endpoint_components.proto)
+MILLION = 1_000_000
+LEVEL_CATEGORY = "level"
+# further tries as conditions (route_components.proto, retry_on): 1 is only for tries that provably never ran
+_TRIES = {
+    0: ("", 0),
+    1: ("refused-stream,connect-failure", 1),
+    2: ("5xx,reset,connect-failure,unavailable", 1),
+    3: ("5xx,reset,connect-failure,unavailable", 2),
+}
+
+Line = tuple[str, str, float]  # server, its zone, weight
+
+
+@dataclass(frozen=True, eq=False)
+class Resource:
+    """One resource: its packed bytes, a version that is a hash of them, and what it names of other types."""
+
+    kind: str
+    name: str
+    body: bytes
+    version: str
+    refs: tuple[tuple[str, str], ...] = ()
+    lines: tuple[Line, ...] = ()  # EDS given whole: what it was made of, so that a part of it can be sent
+    level: float = 1.0
+
+
+Wanted = Mapping[str, Mapping[str, Resource]]
+
+
+@dataclass(frozen=True)
+class Content:
+    """What a table holds: lines by server, and by operation the level and the way of further tries."""
+
+    lines: tuple[Line, ...]
+    levels: tuple[tuple[float, int], ...]  # a row an operation of the settings
+
+
+def _resource(
+    kind: str,
+    name: str,
+    message: Message,
+    refs: Iterable[tuple[str, str]] = (),
+    lines: tuple[Line, ...] = (),
+    level: float = 1.0,
+) -> Resource:
+    body = message.SerializeToString(deterministic=True)
+    version = xxhash.xxh3_64_hexdigest(body)
+    return Resource(kind, name, body, version, tuple(refs), lines, level)
+
+
+def whole_weights(lines: Iterable[Line]) -> list[int]:
+    """Weights as whole numbers of 1 or more whose sum the protocol takes: no line is rounded away."""
+    weights = [weight * WEIGHT_UNIT for _, _, weight in lines]
+    over = sum(weights) / (WEIGHT_SUM - len(weights)) if weights else 0
+    return [max(1, int(w / over) if over > 1 else round(w)) for w in weights]
+
+
+def _endpoint(server: str, weight: int, draining: bool = False) -> LbEndpoint:
+    host, _, port = server.rpartition(":")
+    at = Address(socket_address=SocketAddress(address=host.strip("[]"), port_value=int(port)))
+    made = LbEndpoint(endpoint=Endpoint(address=at), load_balancing_weight=UInt32Value(value=weight))
+    if draining:
+        made.health_status = DRAINING
+    return made
+
+
+def assignment(name: str, lines: tuple[Line, ...], level: float) -> Resource:
+    """A table given whole: a locality a line."""
+    made = ClusterLoadAssignment(cluster_name=name)
+    for (server, zone, _), weight in zip(lines, whole_weights(lines), strict=True):
+        made.endpoints.append(
+            LocalityLbEndpoints(
+                locality=Locality(zone=zone, sub_zone=server),
+                load_balancing_weight=UInt32Value(value=weight),
+                lb_endpoints=[_endpoint(server, weight)],
+            )
+        )
+    _level(made, level)
+    return _resource(names.EDS, name, made, lines=lines, level=level)
+
+
+def _level(made: ClusterLoadAssignment, level: float) -> None:
+    if level < 1:
+        share = FractionalPercent(numerator=round((1 - max(level, 0)) * MILLION), denominator="MILLION")
+        made.policy.drop_overloads.add(category=LEVEL_CATEGORY, drop_percentage=share)
+
+
+@lru_cache(maxsize=65_536)
+def cluster(name: str, service: str) -> Resource:
+    """The cluster of an operation on a table: its lines come by EDS, under the table's name."""
+    made = Cluster(
+        name=name,
+        type="EDS",
+        lb_policy="ROUND_ROBIN",
+        lrs_server=ConfigSource(self={}, resource_api_version="V3"),
+        eds_cluster_config=Cluster.EdsClusterConfig(eds_config=_ads(), service_name=service),
+    )
+    made.common_lb_config.locality_weighted_lb_config.SetInParent()
+    return _resource(names.CDS, name, made, [(names.EDS, service)])
+
+
+@lru_cache(maxsize=64)
+def withdrawn(servers: frozenset[str]) -> Resource:
+    """The servers shut out for proxies that are not bound, each DRAINING: a table that only takes away."""
+    made = ClusterLoadAssignment(cluster_name=names.WITHDRAWN)
+    made.endpoints.append(LocalityLbEndpoints(lb_endpoints=[_endpoint(s, 1, True) for s in sorted(servers)]))
+    return _resource(names.EDS, names.WITHDRAWN, made)
+
+
+def _ads() -> ConfigSource:
+    return ConfigSource(ads=AggregatedConfigSource(), resource_api_version="V3")
+
+
+def _seconds(nanoseconds: int) -> Duration:
+    return Duration(seconds=nanoseconds // 10**9, nanos=nanoseconds % 10**9)
+
+
+class Translator:
+    """Builds resources for one planner; keeps what it built until `forget` or a table's next change."""
+
+    def __init__(self, settings: Settings) -> None:
+        """`settings` name the operations, their time-outs and this planner's number."""
+        self.set = settings
+        self.listeners = {op.name: self._listener(op.name) for op in settings.operations}
+        self.made: dict[tuple[object, ...], dict[str, dict[str, Resource]]] = {}
+        self.routes: dict[tuple[str, str, int], Resource] = {}
+        self.shut = withdrawn(frozenset())
+
+    def _listener(self, name: str) -> Resource:
+        manager = HttpConnectionManager(
+            stat_prefix=name,
+            rds=Rds(config_source=_ads(), route_config_name=name),
+            http_filters=[HttpFilter(name="router", typed_config=_pack(Router()))],
+        )
+        listener = Listener(name=name, api_listener=ApiListener(api_listener=_pack(manager)))
+        return _resource(names.LDS, name, listener, [(names.RDS, name)])
+
+    def _route(self, op: Operation, cluster: str, tries: int) -> Resource:
+        key = (op.name, cluster, tries)
+        if key not in self.routes:
+            conditions, count = _TRIES[tries]
+            action = RouteAction(cluster=cluster, timeout=_seconds(op.timeout))
+            if count:
+                per_try = _seconds(int(self.set.try_objectives * op.objective)) if tries > 1 else None
+                action.retry_policy.CopyFrom(
+                    RetryPolicy(
+                        retry_on=conditions, num_retries=UInt32Value(value=count), per_try_timeout=per_try
+                    )
+                )
+            host = VirtualHost(
+                name=op.name, domains=["*"], routes=[Route(match=RouteMatch(prefix=""), route=action)]
+            )
+            made = RouteConfiguration(name=op.name, virtual_hosts=[host])
+            self.routes[key] = _resource(names.RDS, op.name, made, [(names.CDS, cluster)])
+        return self.routes[key]
+
+    def shut_out(self, servers: Iterable[str]) -> None:
+        """The servers withdrawn for proxies that are not bound yet."""
+        self.shut = withdrawn(frozenset(servers))
+
+    def forget(self, table: str) -> None:
+        """A table changed: what was built of it is built anew when next wanted."""
+        for key in [key for key in self.made if key[0] == table]:
+            del self.made[key]
+
+    def table(self, table: str, content: Content, lines: bool) -> dict[str, dict[str, Resource]]:
+        """The EDS (and, line by line, LEDS) resources of a table, by an operation's EDS name."""
+        key = (table, lines)
+        if key not in self.made:
+            by: dict[str, dict[str, Resource]] = {names.EDS: {}, names.LEDS: {}}
+            for op, (level, _) in zip(self.set.operations, content.levels, strict=True):
+                name = self.service(table, content, op.name)
+                if name in by[names.EDS]:
+                    continue
+                if not lines:
+                    by[names.EDS][name] = assignment(name, content.lines, level)
+                    continue
+                by[names.EDS][name] = self._collections(name, table, content.lines, level)
+            if lines:
+                for (server, zone, _), weight in zip(
+                    content.lines, whole_weights(content.lines), strict=True
+                ):
+                    made = _resource(
+                        names.LEDS, names.line_name(table, zone, server), _endpoint(server, weight)
+                    )
+                    by[names.LEDS][made.name] = made
+            self.made[key] = by
+        return self.made[key]
+
+    def _collections(self, name: str, table: str, lines: tuple[Line, ...], level: float) -> Resource:
+        made = ClusterLoadAssignment(cluster_name=name)
+        refs = []
+        for zone in sorted({zone for _, zone, _ in lines}):
+            glob = names.collection(table, zone)
+            refs.append((names.LEDS, glob))
+            made.endpoints.append(
+                LocalityLbEndpoints(
+                    locality=Locality(zone=zone),
+                    load_balancing_weight=UInt32Value(value=1),
+                    leds_cluster_locality_config=LedsClusterLocalityConfig(
+                        leds_config=_ads(), leds_collection_name=glob
+                    ),
+                )
+            )
+        _level(made, level)
+        return _resource(names.EDS, name, made, refs, level=level)
+
+    def service(self, table: str, content: Content, operation: str) -> str:
+        """The EDS name an operation uses: the table's, or one of its own where its level differs from
+        the first's."""
+        place = next(k for k, op in enumerate(self.set.operations) if op.name == operation)
+        own = content.levels[place][0] != content.levels[0][0]
+        return f"{table}~{operation}" if own else table
+
+    def wanted(self, tables: Mapping[str, Content], bound: Mapping[str, str], lines: bool) -> Wanted:
+        """All that a proxy should hold.
+
+        `bound` maps an operation to its table's name; without any, only the withdrawn servers are told.
+        `lines`
+        asks for endpoints line by line.
+        """
+        made: dict[str, dict[str, Resource]] = {kind: {} for kind in names.ORDER}
+        made[names.EDS][names.WITHDRAWN] = self.shut if not bound else withdrawn(frozenset())
+        for op in self.set.operations if bound else ():
+            table = bound.get(op.name)
+            if table is None:
+                continue
+            content = tables[table]
+            held = names.cluster_name(table, op.name)
+            place = self.set.operations.index(op)
+            made[names.CDS][held] = cluster(held, self.service(table, content, op.name))
+            built = self.table(table, content, lines)
+            for kind in (names.EDS, names.LEDS):
+                made[kind] |= built[kind]
+            made[names.LDS][op.name] = self.listeners[op.name]
+            made[names.RDS][op.name] = self._route(op, held, content.levels[place][1])
+        return made
+
+
+def _pack(message: Message) -> Packed:
+    packed = Packed()
+    packed.Pack(message, deterministic=True)
+    return packed
