--- a/swiftchute/cli/main.py
+++ b/swiftchute/cli/main.py
@@ -1,5 +1,6 @@
 """Commands, by click. Bad settings end with exit code 2 and a line each on standard error."""
 
+import os
 import sys
 
 import click
@@ -54,3 +55,36 @@
     except OSError as why:
         click.echo(f"swiftchute: {config}: xds.listen: {why}", err=True)
         sys.exit(2)
+
+
+@main.command()
+@click.argument("day", required=False)
+@click.option("--list", "listed", is_flag=True, help="Say which days there are.")
+@click.option("--seed", default=7, show_default=True, help="Start of the day's chance.")
+@click.option("--json", "out", type=click.Path(dir_okay=False), help="Write the verdicts to a file.")
+@click.option("--keep", type=click.Path(file_okay=False), help="Keep settings, list and logs in this folder.")
+def drill(day: str | None, listed: bool, seed: int, out: str | None, keep: str | None) -> None:
+    """Play a scripted day of stand-ins on this machine through real planners, and judge the five rules."""
+    import tempfile
+
+    import uvloop
+
+    from swiftchute.drill import report
+    from swiftchute.drill.checker import judge
+    from swiftchute.drill.day import DAYS, Runner
+
+    if listed or day is None:
+        for name, known in DAYS.items():
+            click.echo(f"{name:10} {known.seconds:3.0f} s  {known.about}")
+        sys.exit(0 if listed else 2)
+    if day not in DAYS:
+        click.echo(f"swiftchute: no day {day!r}; there are {', '.join(DAYS)}", err=True)
+        sys.exit(2)
+    with tempfile.TemporaryDirectory() as folder:
+        os.makedirs(keep or folder, exist_ok=True)
+        result = uvloop.run(Runner(DAYS[day], seed, keep or folder, say=click.echo).run())
+    verdicts = judge(result.evidence)
+    click.echo(report.text(result, verdicts))
+    if out:
+        report.write(out, day, seed, result, verdicts)
+    sys.exit(1 if report.broken(result, verdicts) else 0)
--- /dev/null
+++ b/swiftchute/drill/day.py
@@ -0,0 +1,459 @@
+"""A drill's day: its fleet, its settings, and its troubles on a time line; and the runner on real sockets.
+
+    evidence, replayed = await Runner(DAYS["bad-day"], seed=7, folder=path).run()
+
+Planners run as processes of their own (`swiftchute serve`), or inside with a module of the caller's. Troubles act on
+processes (stop, kill) and on sockets (relays between gateways and planners; workers' listeners), never in a planner.
+"""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import socket
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from swiftchute.config import load
+from swiftchute.drill.checker import Evidence, Told
+from swiftchute.observe.log import setup
+from swiftchute.standin.client import Client
+from swiftchute.standin.gateway import Gateway
+from swiftchute.standin.relay import Relay
+from swiftchute.standin.worker import Facts, Worker
+
+S = 1_000_000_000
+ZONES = ("north", "south", "west")
+# operation: work in seconds, share of invocations, objective, time-out, value, repeats
+OPERATIONS = {
+    "lot-estimate": (0.24, 0.68, "1200ms", "4s", 3, "idempotent"),
+    "reserve-refresh": (0.18, 0.26, "1500ms", "5s", 2, "idempotent"),
+    "bid-record": (0.12, 0.06, "1500ms", "5s", 2, "side-effecting"),
+}
+LIST_LATE = 1.5  # seconds until the list tells of a death or a start
+
+
+@dataclass(frozen=True)
+class Trouble:
+    """At `at` seconds `what` happens: a method of the runner, with arguments."""
+
+    at: float
+    what: str
+    args: tuple[Any, ...] = ()
+
+
+@dataclass(frozen=True)
+class Day:
+    """What a drill plays; figures are scaled to one machine."""
+
+    about: str
+    seconds: float
+    troubles: tuple[Trouble, ...]
+    workers: int = 15
+    gateways: int = 24
+    planners: int = 2
+    rate: float = 5.0  # invocations a second that come to a gateway, on average
+    grace: float = 3.0
+    warm_within: float = 8.0
+    bare_limit: float = 3.0
+    pace: float = 1500.0
+    limit: float = 3000.0
+    messages: int = 30
+
+
+def _t(at: float, what: str, *args: Any) -> Trouble:
+    return Trouble(at, what, args)
+
+
+DAYS = {
+    "bad-day": Day(
+        "a fifth of the workers die and come back cold; a rolling deploy; a planner stands still, dies and returns;"
+        " gateways lose their planner; a gateway refuses a version; a slow channel",
+        54.0,
+        (
+            _t(6, "die", 0.2),
+            _t(12, "come_back"),
+            _t(16, "refuse", 2, 8.0),
+            _t(17, "deploy", 6, 1.5),
+            _t(22, "stop_reading", 3, 4.0),
+            _t(23, "freeze", 0, 4.0),
+            _t(27.5, "kill", 0),
+            _t(31, "return_planner", 0),
+            _t(36, "lose_planners", 0.35, 5.0),
+            _t(37, "drain", 1),
+            _t(42, "slow_channel", 0.35, 20_000.0, 6.0),
+            _t(43, "drain", 1),
+            _t(44, "cut", 0.5),
+        ),
+    ),
+    "quiet": Day("nothing happens", 10.0, ()),
+    "drains": Day("two workers drain, one after the other", 9.0, (_t(2, "drain", 1), _t(4, "drain", 1)),
+                  workers=9, gateways=6, planners=1, grace=1.5),
+    "cold": Day("half of a zone's workers come back cold", 12.0, (_t(2, "die", 0.34), _t(5, "come_back")),
+                workers=9, gateways=6, planners=1, rate=14.0, warm_within=10.0),
+    "errors": Day("a third of the workers fail quickly", 9.0, (_t(2, "fail", 0.34),),
+                  workers=9, gateways=6, planners=1, rate=10.0),
+}  # fmt: skip
+
+
+class Planner:
+    """A planner under drill: a process of its own, or a service inside this one with another module."""
+
+    def __init__(self, number: int, path: str, log: str, make: Any) -> None:
+        self.number, self.path, self.log, self.make = number, path, log, make
+        self.process: asyncio.subprocess.Process | None = None
+        self.task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        if self.make is not None:
+            from swiftchute.planner.service import Service
+
+            service = Service(load(self.path), setup("error", planner=self.number), self.make)
+            ready = asyncio.get_running_loop().create_future()
+            self.task = asyncio.ensure_future(service.run(ready.set_result, signals=False))
+            await asyncio.wait({ready, self.task}, return_when=asyncio.FIRST_COMPLETED)
+            return
+        with open(self.log, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "swiftchute", "serve", self.path, stderr=log, stdout=log,
+                stdin=asyncio.subprocess.DEVNULL)
+
+    def send(self, number: int) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def end(self, number: int = signal.SIGTERM) -> None:
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+        if self.process is not None:
+            self.send(signal.SIGCONT)
+            self.send(number)
+            try:
+                await asyncio.wait_for(self.process.wait(), 5)
+            except TimeoutError:
+                self.process.kill()
+                await self.process.wait()
+
+
+@dataclass
+class Result:
+    """What a day came to: the evidence, how invocations ended, and whether replaying every order changed anything."""
+
+    evidence: Evidence
+    ends: dict[str, int]
+    replayed: int
+    changed: list[str]
+    fell: list[str]
+    lost: int = 0
+    notes: list[str] = field(default_factory=list)
+
+
+class Runner:
+    """Plays one day once."""
+
+    def __init__(self, day: Day, seed: int, folder: str, make: Callable[..., Any] | None = None,
+                 say: Callable[[str], None] = lambda text: None, loose: dict[str, Any] | None = None) -> None:
+        """`make` replaces the module (planners then run inside); `loose` replaces figures in the planners' settings
+        only, so that a planner that does not keep the day's limits can be judged by them."""
+        self.day, self.random, self.folder, self.make, self.say = day, random.Random(seed), folder, make, say
+        self.loose = loose or {}
+        self.seed = seed
+        self.workers: list[Worker] = []
+        self.gateways: list[Gateway] = []
+        self.planners: list[Planner] = []
+        self.relays: dict[tuple[int, int], Relay] = {}  # (gateway, planner)
+        self.states: dict[str, tuple[str, int]] = {}  # what the list says: state, start
+        self.told: list[Told] = []
+        self.deaf: dict[str, list[tuple[int, int]]] = {}
+        self.down: dict[int, int] = {}
+        self.dead: list[Worker] = []
+        self.tasks: list[asyncio.Task] = []
+        self.list = os.path.join(folder, "workers.json")
+
+    # -- the list
+
+    def publish(self) -> None:
+        """Write the list anew, and note what it tells from now on."""
+        groups = []
+        for w in self.workers:
+            state, started = self.states[w.address]
+            if state != "gone":
+                # the label is wall clock, as in the form; six decimals, as starts are told apart by it
+                start = f"{(started + time.time_ns() - time.monotonic_ns()) / S:.1f}" if started else "0"
+                self.starts.setdefault((w.address, started), start)
+                groups.append({"targets": [w.address], "labels": {
+                    "zone": w.zone, "kind": "std", "state": state, "start": self.starts[w.address, started]}})
+        with open(self.list + ".new", "w", encoding="utf-8") as out:
+            json.dump(groups, out)
+        os.replace(self.list + ".new", self.list)
+        now = time.monotonic_ns()
+        for w in self.workers:
+            state, started = self.states[w.address]
+            last = next((t for t in reversed(self.told) if t.server == w.address), None)
+            if last is None or (last.state, last.started) != (state, started):
+                self.told.append(Told(now, w.address, w.zone, state, started))
+
+    def tell(self, worker: Worker, state: str, started: int | None = None) -> None:
+        """The list says this of a worker from now on."""
+        self.states[worker.address] = (state, self.states[worker.address][1] if started is None else started)
+        self.publish()
+
+    starts: dict[tuple[str, int], str]
+
+    # -- the day
+
+    def settings(self, number: int, port: int, **loose: Any) -> str:
+        """The HCL of one planner."""
+        day = replace(self.day, **loose)
+        rows = "".join(
+            f'operation "{name}" {{\n  latency_objective = "{aim}"\n  integration_timeout = "{last}"\n'
+            f'  billed_value = {value}\n  late_value = 0.2\n  repeats = "{repeats}"\n}}\n'
+            for name, (_, _, aim, last, value, repeats) in OPERATIONS.items())
+        zones = ", ".join(f'"{z}"' for z in ZONES)
+        return (
+            f'service {{\n  zones = [{zones}]\n  zone = "{ZONES[number % len(ZONES)]}"\n  planner = {number}\n'
+            f"  planners = {day.planners}\n  proxies = {day.gateways}\n  standing_lines = 6\n  avoids_after = 5\n"
+            f"  seed = {self.seed * 100 + number}\n}}\n{rows}"
+            f'rules {{\n  drain_grace = "{day.grace}s"\n  start_capacity = 0.2\n  warm_within = "{day.warm_within}s"\n'
+            f'  fall_multiple = 2.5\n  fall_span = "2s"\n  bare_limit = "{day.bare_limit}s"\n}}\n'
+            f"channel {{\n  pace = {day.pace}\n  limit = {day.limit}\n  message_lines = 6\n"
+            f'  message_limit = {day.messages}\n  message_window = "10s"\n}}\n'
+            f'reports {{\n  period = "500ms"\n  lines = 300\n}}\n'
+            f'list "file" {{\n  path = "{self.list}"\n  every = "100ms"\n}}\n'
+            f'xds {{\n  listen = "127.0.0.1:{port}"\n  ack_within = "10s"\n  read_within = "8s"\n}}\n')
+
+    async def _fleet(self) -> None:
+        day = self.day
+        facts = Facts({name: row[0] for name, row in OPERATIONS.items()}, warm_within=day.warm_within)
+        self.workers = [Worker(facts, ZONES[k % 3], self.random.uniform(0.85, 1.2), self.random.getrandbits(32))
+                        for k in range(day.workers)]
+        self.starts = {}
+        for w in self.workers:
+            await w.start()
+            self.states[w.address] = ("ready", 0)
+        self.publish()
+        self.addresses = {}
+        for number in range(day.planners):
+            port = _free_port()
+            path = os.path.join(self.folder, f"planner-{number}.hcl")
+            with open(path, "w", encoding="utf-8") as out:
+                out.write(self.settings(number, port, **self.loose))
+            self.addresses[number] = ("127.0.0.1", port)
+            log = os.path.join(self.folder, f"planner-{number}.log")
+            self.planners.append(Planner(number, path, log, self.make))
+            await self.planners[-1].start()
+        self.dialled: dict[str, str] = {}
+        for k in range(day.gateways):
+            zone = ZONES[k % 3]
+            dial = []
+            for number, address in self.addresses.items():
+                relay = self.relays[k, number] = Relay(address)
+                at = await relay.start()
+                self.dialled[f"{at[0]}:{at[1]}"] = str(number)
+                dial.append(at)
+            share = 0.5 + self.random.random()
+            client = Client(f"gw-{k:02}", zone, day.rate * share, delta=k % 4 != 3, lines=k % 2 == 0)
+            own = [w.address for w in self.workers if w.zone == zone]
+            client.standing = dict.fromkeys(self.random.sample(own, min(6, len(own))), 1)
+            gateway = Gateway(client, dial, self.random.getrandbits(32), keepalive=0.8)
+            self.gateways.append(gateway)
+            gateway.start()
+
+    async def run(self) -> Result:
+        """Play the day; all that was started is ended whatever happens."""
+        try:
+            await self._fleet()
+            for _ in range(100):  # planners of their own processes need a moment to come up
+                if all(g.joined for g in self.gateways):
+                    break
+                await asyncio.sleep(0.1)
+            begin = time.monotonic()
+            for g in self.gateways:
+                for name, row in OPERATIONS.items():
+                    self.tasks.append(asyncio.ensure_future(
+                        g.load(name, g.client.rate * row[1], self.day.seconds)))
+            self.say(f"{len(self.workers)} workers, {len(self.gateways)} gateways, {len(self.planners)} planners")
+            for trouble in self.day.troubles:
+                await asyncio.sleep(max(begin + trouble.at - time.monotonic(), 0))
+                self.say(f"{trouble.at:5.1f} s  {trouble.what} {' '.join(map(str, trouble.args))}")
+                made = getattr(self, trouble.what)(*trouble.args)
+                if asyncio.iscoroutine(made):
+                    self.tasks.append(asyncio.ensure_future(made))
+            await asyncio.sleep(max(begin + self.day.seconds - time.monotonic(), 0))
+            end = time.monotonic_ns()
+            result = self._result(end)
+            await asyncio.sleep(0.2)
+            self._replay(result)
+            return result
+        finally:
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.gather(*self.tasks, return_exceptions=True)
+            for g in self.gateways:
+                await g.stop()
+            for p in self.planners:
+                await p.end()
+            for r in self.relays.values():
+                await r.stop()
+            for w in self.workers:
+                await w.die()
+
+    def _result(self, end: int) -> Result:
+        records = [g.record for g in self.gateways]
+        for planner, since in self.down.items():
+            self.deaf.setdefault(str(planner), []).append((since, end))
+        ends: dict[str, int] = {}
+        for record in records:
+            for name, count in record.ends.items():
+                ends[name] = ends.get(name, 0) + count
+        settings = _checked(self.settings(0, 1), os.path.join(self.folder, "day.hcl"))
+        evidence = Evidence(
+            settings, list(self.told), [o for r in records for o in r.orders], [t for r in records for t in r.tries],
+            [s for r in records for s in r.streams], [x for w in self.workers for x in w.receipts],
+            {g.client.node: (g.client.zone, g.client.rate, g.client.delta, g.client.lines, dict(g.client.standing))
+             for g in self.gateways},
+            {w.address: w.facts.cores * w.speed for w in self.workers},
+            self.deaf, end, self.dialled)
+        fell = [w.address for w in self.workers for _ in w.fell]
+        return Result(evidence, ends, 0, [], fell, sum(r.lost for r in records))
+
+    def _replay(self, result: Result) -> None:
+        """Deliver every order of the day twice more: nothing may change and no worker may hear of it."""
+        before = {g.client.node: (repr(g.client.tables), repr(g.client.held)) for g in self.gateways}
+        heard = sum(len(w.receipts) for w in self.workers)
+        tries = sum(len(g.record.tries) for g in self.gateways)
+        by = {g.client.node: g.client for g in self.gateways}
+        for order in result.evidence.orders * 2:
+            by[order.gateway].receive(order.data)
+            result.replayed += 1
+        result.changed = [n for n, was in before.items() if (repr(by[n].tables), repr(by[n].held)) != was]
+        if sum(len(w.receipts) for w in self.workers) != heard or sum(
+                len(g.record.tries) for g in self.gateways) != tries:
+            result.changed.append("workers' counters")
+
+    # -- troubles
+
+    def _some(self, share: float) -> list[Worker]:
+        ready = [w for w in self.workers if w.server is not None and self.states[w.address][0] == "ready"]
+        return self.random.sample(ready, max(1, round(share * len(self.workers))))
+
+    async def die(self, share: float) -> None:
+        """Workers die at once; the list drops them later."""
+        struck = self._some(share)
+        for w in struck:
+            await w.die()
+        self.dead = struck
+        await asyncio.sleep(LIST_LATE)
+        for w in struck:
+            if w.server is None:
+                self.tell(w, "gone")
+
+    async def come_back(self) -> None:
+        """Those that died start cold; the list tells of it later."""
+        for w in self.dead:
+            await w.start(cold=True)
+        await asyncio.sleep(LIST_LATE)
+        for w in self.dead:
+            self.tell(w, "ready", int(w.started * S))
+
+    async def fail(self, share: float) -> None:
+        """Workers fail what they take, quickly, after it took effect."""
+        for w in self._some(share):
+            w.mode = "fail late"  # a try that failed may have run: repeating it is not safe
+
+    async def drain(self, count: int) -> None:
+        """Workers drain and stay drained."""
+        for w in self._some(count / len(self.workers))[:count]:
+            self.tell(w, "draining")
+
+    async def deploy(self, count: int, every: float) -> None:
+        """A rolling deploy: each drains, restarts cold and is listed again."""
+        async def one(w: Worker) -> None:
+            self.tell(w, "draining")
+            await asyncio.sleep(self.day.grace + 0.5)
+            await w.die()
+            await asyncio.sleep(0.5)
+            await w.start(cold=True)
+            await asyncio.sleep(LIST_LATE / 2)
+            self.tell(w, "ready", int(w.started * S))
+
+        for w in self._some(count / len(self.workers))[:count]:
+            self.tasks.append(asyncio.ensure_future(one(w)))
+            await asyncio.sleep(every)
+
+    async def freeze(self, planner: int, seconds: float) -> None:
+        """A planner stands still."""
+        since = time.monotonic_ns()
+        self.planners[planner].send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.planners[planner].send(signal.SIGCONT)
+        self.deaf.setdefault(str(planner), []).append((since, time.monotonic_ns()))
+
+    async def kill(self, planner: int) -> None:
+        """A planner is killed outright."""
+        self.down[planner] = time.monotonic_ns()
+        await self.planners[planner].end(signal.SIGKILL)
+
+    async def return_planner(self, planner: int) -> None:
+        """It comes back, with nothing but the list."""
+        await self.planners[planner].start()
+        self.deaf.setdefault(str(planner), []).append((self.down.pop(planner), time.monotonic_ns() + S // 2))
+
+    async def lose_planners(self, share: float, seconds: float) -> None:
+        """Gateways reach no planner for a while, and go on forwarding."""
+        struck = self.random.sample(range(len(self.gateways)), max(1, round(share * len(self.gateways))))
+        mine = [r for (k, _), r in self.relays.items() if k in struck]
+        for relay in mine:
+            relay.refusing = True
+            relay.cut()
+        await asyncio.sleep(seconds)
+        for relay in mine:
+            relay.refusing = False
+
+    async def slow_channel(self, delay: float, pace: float, seconds: float) -> None:
+        """What passes between gateways and planners is late and slow."""
+        for relay in self.relays.values():
+            relay.delay, relay.pace = delay, pace
+        await asyncio.sleep(seconds)
+        for relay in self.relays.values():
+            relay.delay, relay.pace = 0.0, 0.0
+
+    def cut(self, share: float) -> None:
+        """Streams break at once; the gateways dial again."""
+        for k in self.random.sample(range(len(self.gateways)), max(1, round(share * len(self.gateways)))):
+            for number in range(len(self.planners)):
+                self.relays[k, number].cut()
+
+    async def stop_reading(self, gateway: int, seconds: float) -> None:
+        """A gateway does not read its stream for a while."""
+        self.gateways[gateway].reading.clear()
+        await asyncio.sleep(seconds)
+        self.gateways[gateway].reading.set()
+
+    async def refuse(self, gateway: int, seconds: float) -> None:
+        """A gateway refuses each change of its endpoints for a while, removals apart, and reconnects halfway."""
+        client = self.gateways[gateway].client
+        held = client.held
+        client.refuses = lambda kind, name, message: "not taken today" if (
+            kind.endswith("LbEndpoint") and name not in held[kind]) else None
+        await asyncio.sleep(seconds / 2)
+        self.gateways[gateway].cut()
+        await asyncio.sleep(seconds / 2)
+        client.refuses = lambda kind, name, message: None
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def _checked(text: str, path: str) -> Any:
+    with open(path, "w", encoding="utf-8") as out:
+        out.write(text)
+    return load(path).settings
--- a/swiftchute/planner/service.py
+++ b/swiftchute/planner/service.py
@@ -94,10 +94,10 @@
                 fields = mode_fields(fields["text"])
             (self.log.warning if event in _WARN else self.log.info)(event, **fields)
 
-    async def run(self, ready: Any = None) -> None:
-        """Serve until SIGTERM or SIGINT; `ready(address)` is called once streams are taken."""
+    async def run(self, ready: Any = None, signals: bool = True) -> None:
+        """Serve until SIGTERM or SIGINT, or cancelled; `ready(address)` is called once streams are taken."""
         stop = asyncio.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT) if signals else ():
             asyncio.get_running_loop().add_signal_handler(number, stop.set)
         self.address = await self.front.start()
         source = asyncio.ensure_future(self.source.run())
--- a/swiftchute/registry/lists.py
+++ b/swiftchute/registry/lists.py
@@ -4,9 +4,8 @@
     news = registry.read(text)     # News, or raises BadList; the last good list stays
 
 A list is a JSON array of `{"targets": ["host:port", ..], "labels": {..}}`. Labels, all strings as in the
-form's page: `zone` (needed), `kind`, `cell`, `state` (ready or draining; a server that is not named is gone), `weight`,
-`start`
-(seconds since 1970, of the server's last start).
+form's page: `zone` (needed), `kind`, `cell`, `state` (ready or draining; a server that is not named is gone),
+`weight`, `start` (seconds since 1970, of the server's last start).
 """
 
 import ipaddress
--- a/swiftchute/standin/client.py
+++ b/swiftchute/standin/client.py
@@ -89,6 +89,7 @@
         self.last: dict[str, int] = {}
         self.versions: dict[str, str] = {}
         self.nonces: dict[str, str] = {}
+        self.token = ""  # of the stream's nonces: an order of an earlier stream is none of this one
         self.ignored = self.applied = 0
         self.standing: dict[str, int] = {}
         self.tables: dict[str, Table] = {}
@@ -105,7 +106,7 @@
 
     def hello(self, fresh: bool) -> list[bytes]:
         """The first requests of a new stream; what is held is told to a delta stream."""
-        self.asked, self.last, self.nonces, self.versions = {}, {}, {}, {}
+        self.asked, self.last, self.nonces, self.versions, self.token = {}, {}, {}, {}, ""
         first = [self._ask(kind, set(), first=True) for kind in (names.CDS, names.LDS)]
         first += [r for r in self._subscriptions(first=True) if r]
         message = (DeltaDiscoveryRequest if self.delta else DiscoveryRequest).FromString(first[0])
@@ -153,8 +154,10 @@
     def receive(self, data: bytes) -> list[bytes]:
         """Apply a response once; returns the ACK or NACK, and requests for what is named now."""
         response = (DeltaDiscoveryResponse if self.delta else DiscoveryResponse).FromString(data)
-        kind, order = response.type_url, int(response.nonce.rpartition("-")[2])
-        if order <= self.last.get(kind, 0):
+        token, _, place = response.nonce.rpartition("-")
+        kind, order = response.type_url, int(place)
+        self.token = self.token or token
+        if token != self.token or order <= self.last.get(kind, 0):
             self.ignored += 1  # delivered again: it was applied, or something newer was
             return []
         self.last[kind], self.nonces[kind] = order, response.nonce
--- a/swiftchute/standin/worker.py
+++ b/swiftchute/standin/worker.py
@@ -10,6 +10,7 @@
 import asyncio
 import random
 import time
+import weakref
 from collections import deque
 from dataclasses import dataclass
 from typing import Any
@@ -52,6 +53,21 @@
     fall_span: float = 2.0
 
 
+class Breakable(Server):
+    """A server whose connections can be broken at once, as a process's death breaks them."""
+
+    def __init__(self, *arguments: Any, **named: Any) -> None:
+        """As its parent."""
+        super().__init__(*arguments, **named)
+        self.made: weakref.WeakSet = weakref.WeakSet()
+
+    def _protocol_factory(self) -> Any:
+        protocol = super()._protocol_factory()
+        protocol.connection = None
+        self.made.add(protocol)
+        return protocol
+
+
 class Worker:
     """One worker; `receipts` outlive its deaths."""
 
@@ -60,10 +76,10 @@
         self.facts, self.zone, self.speed = facts, zone, speed
         self.random = random.Random(seed)
         self.receipts: deque[Receipt] = deque(maxlen=RECEIPTS_MOST)
-        self.server: Server | None = None
+        self.server: Breakable | None = None
         self.address = ""
         self.started: float | None = None  # monotonic seconds of a cold start; None: warm long since
-        self.mode = "well"  # "hang", "fail"
+        self.mode = "well"  # "hang", "fail" (before it runs), "fail late" (after)
         self.factor = 1.0
         self.fell: list[float] = []
         self.held = 0
@@ -81,7 +97,7 @@
     async def start(self, cold: bool = False) -> None:
         """Listen, at the same address as before if it ran before."""
         port = int(self.address.rpartition(":")[2] or 0)
-        self.server = Server([self], codec=Raw())
+        self.server = Breakable([self], codec=Raw())
         await self.server.start("127.0.0.1", port, reuse_address=True)
         self.address = "{}:{}".format(*self.server._server.sockets[0].getsockname()[:2])
         self.cores = asyncio.Semaphore(self.facts.cores)
@@ -94,9 +110,9 @@
         if self.server is not None:
             server, self.server = self.server, None
             server._server.close()
-            for handler in list(server._handlers):
-                if handler.connection is not None and not handler.connection.is_closing():
-                    handler.connection._transport.abort()
+            for protocol in server.made:
+                if protocol.connection is not None and not protocol.connection.is_closing():
+                    protocol.connection._transport.abort()
             server.close()
 
     def capacity(self, now: float) -> float:
@@ -154,6 +170,8 @@
                 self._receipt(operation, data, work, "ran")  # from here on it may have taken effect
                 if self.mode == "hang":
                     await asyncio.sleep(3600)
+                if self.mode == "fail late":
+                    raise GRPCError(Status.INTERNAL, "failed after it ran")
                 await asyncio.sleep(work * self.factor / (self.speed * self.capacity(time.monotonic())))
         finally:
             if cores is self.cores:
