Let drains reach a gateway that refuses its new tables: removals alone, old lines less barred servers

A drill's refusing gateway sent to a draining worker for 3.21 s (grace 3 s): it went by another planner's table while its new one was refused, and the removals rode in replies that it refused.

While a client goes by old tables, lines of draining and gone servers leave them; removals go alone once anything was refused; whole tables are cut down to what was acknowledged less barred servers.

--- a/swiftchute/drill/__init__.py
+++ b/swiftchute/drill/__init__.py
@@ -1,1 +1,2 @@
-"""Scripted bad days through the real planner, and the checker of the five rules from what passed on the sockets."""
+"""Scripted bad days through the real planner, and the checker of the five rules from what passed on
+the sockets."""
--- a/swiftchute/drill/checker.py
+++ b/swiftchute/drill/checker.py
@@ -1,7 +1,9 @@
 """The five rules, judged from what passed on the sockets: orders, tries, streams, and the workers' receipts.
 
-`judge(evidence)` returns a `Verdict` a rule. It reads nothing of a planner: what proxies held is worked out by
-replaying the orders as their sockets received them, what they did from the tries, what took effect from the receipts.
+`judge(evidence)` returns a `Verdict` a rule. It reads nothing of a planner: what proxies held is worked out
+by
+replaying the orders as their sockets received them, what they did from the tries, what took effect from the
+receipts.
 Times are monotonic nanoseconds of one machine; every figure is of stand-ins on one machine.
 """
 
@@ -22,7 +24,8 @@
 
 @dataclass(frozen=True)
 class Told:
-    """What the published list said of a server from `at` on; `started` is the planner clock's, 0 if long ago."""
+    """What the published list said of a server from `at` on; `started` is the planner clock's, 0 if
+    long ago."""
 
     at: int
     server: str
@@ -33,7 +36,8 @@
 
 @dataclass
 class Evidence:
-    """All that a day left behind; `deaf` are spans in which a planner (by address) could not be told anything."""
+    """All that a day left behind; `deaf` are spans in which a planner (by address) could not be told
+    anything."""
 
     settings: Settings
     told: list[Told]
@@ -41,7 +45,9 @@
     tries: list[Try]
     streams: list[Stream]
     receipts: list[Receipt]
-    gateways: dict[str, tuple[str, float, bool, bool, dict[str, int]]]  # zone, rate, delta, lines, standing table
+    gateways: dict[
+        str, tuple[str, float, bool, bool, dict[str, int]]
+    ]  # zone, rate, delta, lines, standing table
     capacity: dict[str, float]  # work a second by server, warm
     deaf: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
     end: int = 0
@@ -64,8 +70,10 @@
         """One line for people."""
         state = "BROKEN" if self.broken else "kept"
         where = f"; first: {self.broken[0]}" if self.broken else ""
-        return (f"{self.rule:34} {state:6} nearest {self.figure:.2f} of {self.limit:.2f} {self.unit}"
-                f" ({self.looked_at}){where}")
+        return (
+            f"{self.rule:34} {state:6} nearest {self.figure:.2f} of {self.limit:.2f} {self.unit}"
+            f" ({self.looked_at}){where}"
+        )
 
 
 def judge(evidence: Evidence) -> list[Verdict]:
@@ -77,7 +85,9 @@
 class _Day:
     def __init__(self, evidence: Evidence) -> None:
         self.e, self.set = evidence, evidence.settings
-        self.joined: dict[str, list[tuple[int, int, str]]] = defaultdict(list)  # gateway -> (from, to, planner)
+        self.joined: dict[str, list[tuple[int, int, str]]] = defaultdict(
+            list
+        )  # gateway -> (from, to, planner)
         opened: dict[tuple[str, int], Stream] = {}
         for s in sorted(evidence.streams, key=lambda s: s.at):
             if s.on:
@@ -103,7 +113,8 @@
         return spans[place] if place >= 0 and spans[place][1] > at else None
 
     def heard(self, planner: str, at: int) -> int:
-        """When a planner could first be told what was published at a time: later if it stood still or was down."""
+        """When a planner could first be told what was published at a time: later if it stood still or
+        was down."""
         for start, end in sorted(self.e.deaf.get(planner, [])):
             if start <= at < end:
                 at = end
@@ -123,13 +134,25 @@
 
     def _servable(self) -> list[tuple[int, bool]]:
         """From when on a ready server that is no longer cold was listed, or none was."""
-        points = sorted({t.at for t in self.e.told}
-                        | {t.started + self.set.warm_within for t in self.e.told if t.started})
+        points = sorted(
+            {t.at for t in self.e.told} | {t.started + self.set.warm_within for t in self.e.told if t.started}
+        )
         out = []
         for at in points:
-            now = [rows[bisect_right([t.at for t in rows], at) - 1] for rows in self.told.values() if rows[0].at <= at]
-            out.append((at, any(t.state == "ready" and at >= t.started + self.set.warm_within * bool(t.started)
-                                for t in now)))
+            now = [
+                rows[bisect_right([t.at for t in rows], at) - 1]
+                for rows in self.told.values()
+                if rows[0].at <= at
+            ]
+            out.append(
+                (
+                    at,
+                    any(
+                        t.state == "ready" and at >= t.started + self.set.warm_within * bool(t.started)
+                        for t in now
+                    ),
+                )
+            )
         return out
 
     def _bare_for(self, since: int, until: int, servable: list[tuple[int, bool]]) -> int:
@@ -146,8 +169,13 @@
 
     def lost(self) -> Verdict:
         """1: no joined proxy without a line for an operation, while a warm server is listed."""
-        verdict = Verdict("nobody left without a server", 0.0, self.set.bare_limit / S, "s",
-                          f"{len(self.e.gateways)} gateways, {len(self.e.orders)} orders")
+        verdict = Verdict(
+            "nobody left without a server",
+            0.0,
+            self.set.bare_limit / S,
+            "s",
+            f"{len(self.e.gateways)} gateways, {len(self.e.orders)} orders",
+        )
         servable = self._servable()
         for client, orders in self.replayed():
             spans = self.joined[client.node]
@@ -172,7 +200,9 @@
                         verdict.figure = max(verdict.figure, took)
                         if took > verdict.limit and len(verdict.broken) < 20:
                             verdict.broken.append(f"{client.node} had no line for {op.name} for {took:.2f} s")
-                    bare[op.name] = (began if began is not None and held and began >= held[0] else at) if empty else None
+                    bare[op.name] = (
+                        (began if began is not None and held and began >= held[0] else at) if empty else None
+                    )
         return verdict
 
     # -- 2
@@ -184,8 +214,13 @@
         for r in self.e.receipts:
             if r.operation in once and r.end == "ran":
                 runs[r.inv].append(r)
-        verdict = Verdict("no effect twice", float(max(map(len, runs.values()), default=0)), 1.0, "runs",
-                          f"{len(runs)} side-effecting invocations by {len(self.e.receipts)} receipts")
+        verdict = Verdict(
+            "no effect twice",
+            float(max(map(len, runs.values()), default=0)),
+            1.0,
+            "runs",
+            f"{len(runs)} side-effecting invocations by {len(self.e.receipts)} receipts",
+        )
         for inv, rows in runs.items():
             if len(rows) > 1 and len(verdict.broken) < 20:
                 verdict.broken.append(f"{inv} ran at {', '.join(r.server for r in rows)}")
@@ -241,14 +276,21 @@
                     window.append(r)
                     while window[0].at < r.at - span:
                         window.popleft()
-                    share = self.set.start_capacity + (1 - self.set.start_capacity) * (r.at - began) / self.set.warm_within
+                    share = (
+                        self.set.start_capacity
+                        + (1 - self.set.start_capacity) * (r.at - began) / self.set.warm_within
+                    )
                     brought = sum(w.work for w in window) / (share * self.e.capacity[server] * span / S)
-                    knowing = sum(w.work for w in window if self._knew(w, news, written)) / sum(w.work for w in window)
+                    knowing = sum(w.work for w in window if self._knew(w, news, written)) / sum(
+                        w.work for w in window
+                    )
                     if knowing >= 2 / 3:
                         verdict.figure = max(verdict.figure, brought)
                         if brought > multiple and len(verdict.broken) < 20:
-                            verdict.broken.append(f"{server} was brought {brought:.2f} times what it could do"
-                                                  f" {(r.at - began) / S:.1f} s after its start")
+                            verdict.broken.append(
+                                f"{server} was brought {brought:.2f} times what it could do"
+                                f" {(r.at - began) / S:.1f} s after its start"
+                            )
         verdict.looked_at = f"{starts} cold starts, {sum(map(len, by.values()))} receipts"
         return verdict
 
@@ -261,9 +303,11 @@
     # -- 5
 
     def queue(self) -> Verdict:
-        """5: messages to a proxy within the window, and lines a planner writes, within what the settings allow.
+        """5: messages to a proxy within the window, and lines a planner writes, within what the settings
+        allow.
 
-        A message is a push: its responses, one a type, carry one version. Lines that waited cannot be seen from
+        A message is a push: its responses, one a type, carry one version. Lines that waited cannot be seen
+        from
         outside; but what a planner writes in a second is at most what may wait and what it sends meanwhile.
         """
         limit = self.set.message_limit or 10**9
@@ -291,8 +335,10 @@
                         recent.popleft()
                     verdict.figure = max(verdict.figure, len(recent) / limit)
                     if len(recent) > limit and len(verdict.broken) < 20:
-                        verdict.broken.append(f"{client.node} was written {len(recent)} messages within"
-                                              f" {self.set.message_window / S:g} s")
+                        verdict.broken.append(
+                            f"{client.node} was written {len(recent)} messages within"
+                            f" {self.set.message_window / S:g} s"
+                        )
                 count = 0
                 for table in {t.cluster.partition("/")[0]: t for t in client.tables.values()}.items():
                     name, now = table[0], dict(table[1].lines) | {"": table[1].level}
@@ -311,7 +357,9 @@
                 written = sum(n for _, n in window)
                 verdict.figure = max(verdict.figure, written / most)
                 if written > most and len(verdict.broken) < 20:
-                    verdict.broken.append(f"planner {planner} wrote {written} lines within a second; {most:g} at most")
+                    verdict.broken.append(
+                        f"planner {planner} wrote {written} lines within a second; {most:g} at most"
+                    )
         total = sum(n for rows in lines.values() for _, n in rows)
         verdict.looked_at = f"{messages} messages, {total} changed lines"
         return verdict
--- a/swiftchute/drill/day.py
+++ b/swiftchute/drill/day.py
@@ -2,8 +2,10 @@
 
     evidence, replayed = await Runner(DAYS["bad-day"], seed=7, folder=path).run()
 
-Planners run as processes of their own (`swiftchute serve`), or inside with a module of the caller's. Troubles act on
-processes (stop, kill) and on sockets (relays between gateways and planners; workers' listeners), never in a planner.
+Planners run as processes of their own (`swiftchute serve`), or inside with a module of the caller's.
+Troubles act on
+processes (stop, kill) and on sockets (relays between gateways and planners; workers' listeners), never in a
+planner.
 """
 
 import asyncio
@@ -119,8 +121,15 @@
             return
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "swiftchute", "serve", self.path, stderr=log, stdout=log,
-                stdin=asyncio.subprocess.DEVNULL)
+                sys.executable,
+                "-m",
+                "swiftchute",
+                "serve",
+                self.path,
+                stderr=log,
+                stdout=log,
+                stdin=asyncio.subprocess.DEVNULL,
+            )
 
     def send(self, number: int) -> None:
         if self.process is not None and self.process.returncode is None:
@@ -142,7 +151,8 @@
 
 @dataclass
 class Result:
-    """What a day came to: the evidence, how invocations ended, and whether replaying every order changed anything."""
+    """What a day came to: the evidence, how invocations ended, and whether replaying every order
+    changed anything."""
 
     evidence: Evidence
     ends: dict[str, int]
@@ -156,9 +166,17 @@
 class Runner:
     """Plays one day once."""
 
-    def __init__(self, day: Day, seed: int, folder: str, make: Callable[..., Any] | None = None,
-                 say: Callable[[str], None] = lambda text: None, loose: dict[str, Any] | None = None) -> None:
-        """`make` replaces the module (planners then run inside); `loose` replaces figures in the planners' settings
+    def __init__(
+        self,
+        day: Day,
+        seed: int,
+        folder: str,
+        make: Callable[..., Any] | None = None,
+        say: Callable[[str], None] = lambda text: None,
+        loose: dict[str, Any] | None = None,
+    ) -> None:
+        """`make` replaces the module (planners then run inside); `loose` replaces figures in the planners'
+        settings
         only, so that a planner that does not keep the day's limits can be judged by them."""
         self.day, self.random, self.folder, self.make, self.say = day, random.Random(seed), folder, make, say
         self.loose = loose or {}
@@ -186,8 +204,17 @@
                 # the label is wall clock, as in the form; six decimals, as starts are told apart by it
                 start = f"{(started + time.time_ns() - time.monotonic_ns()) / S:.1f}" if started else "0"
                 self.starts.setdefault((w.address, started), start)
-                groups.append({"targets": [w.address], "labels": {
-                    "zone": w.zone, "kind": "std", "state": state, "start": self.starts[w.address, started]}})
+                groups.append(
+                    {
+                        "targets": [w.address],
+                        "labels": {
+                            "zone": w.zone,
+                            "kind": "std",
+                            "state": state,
+                            "start": self.starts[w.address, started],
+                        },
+                    }
+                )
         with open(self.list + ".new", "w", encoding="utf-8") as out:
             json.dump(groups, out)
         os.replace(self.list + ".new", self.list)
@@ -213,7 +240,8 @@
         rows = "".join(
             f'operation "{name}" {{\n  latency_objective = "{aim}"\n  integration_timeout = "{last}"\n'
             f'  billed_value = {value}\n  late_value = 0.2\n  repeats = "{repeats}"\n}}\n'
-            for name, (_, _, aim, last, value, repeats) in OPERATIONS.items())
+            for name, (_, _, aim, last, value, repeats) in OPERATIONS.items()
+        )
         zones = ", ".join(f'"{z}"' for z in ZONES)
         return (
             f'service {{\n  zones = [{zones}]\n  zone = "{ZONES[number % len(ZONES)]}"\n  planner = {number}\n'
@@ -225,13 +253,16 @@
             f'  message_limit = {day.messages}\n  message_window = "10s"\n}}\n'
             f'reports {{\n  period = "500ms"\n  lines = 300\n}}\n'
             f'list "file" {{\n  path = "{self.list}"\n  every = "100ms"\n}}\n'
-            f'xds {{\n  listen = "127.0.0.1:{port}"\n  ack_within = "10s"\n  read_within = "8s"\n}}\n')
+            f'xds {{\n  listen = "127.0.0.1:{port}"\n  ack_within = "10s"\n  read_within = "8s"\n}}\n'
+        )
 
     async def _fleet(self) -> None:
         day = self.day
         facts = Facts({name: row[0] for name, row in OPERATIONS.items()}, warm_within=day.warm_within)
-        self.workers = [Worker(facts, ZONES[k % 3], self.random.uniform(0.85, 1.2), self.random.getrandbits(32))
-                        for k in range(day.workers)]
+        self.workers = [
+            Worker(facts, ZONES[k % 3], self.random.uniform(0.85, 1.2), self.random.getrandbits(32))
+            for k in range(day.workers)
+        ]
         self.starts = {}
         for w in self.workers:
             await w.start()
@@ -275,9 +306,12 @@
             begin = time.monotonic()
             for g in self.gateways:
                 for name, row in OPERATIONS.items():
-                    self.tasks.append(asyncio.ensure_future(
-                        g.load(name, g.client.rate * row[1], self.day.seconds)))
-            self.say(f"{len(self.workers)} workers, {len(self.gateways)} gateways, {len(self.planners)} planners")
+                    self.tasks.append(
+                        asyncio.ensure_future(g.load(name, g.client.rate * row[1], self.day.seconds))
+                    )
+            self.say(
+                f"{len(self.workers)} workers, {len(self.gateways)} gateways, {len(self.planners)} planners"
+            )
             for trouble in self.day.troubles:
                 await asyncio.sleep(max(begin + trouble.at - time.monotonic(), 0))
                 self.say(f"{trouble.at:5.1f} s  {trouble.what} {' '.join(map(str, trouble.args))}")
@@ -313,12 +347,27 @@
                 ends[name] = ends.get(name, 0) + count
         settings = _checked(self.settings(0, 1), os.path.join(self.folder, "day.hcl"))
         evidence = Evidence(
-            settings, list(self.told), [o for r in records for o in r.orders], [t for r in records for t in r.tries],
-            [s for r in records for s in r.streams], [x for w in self.workers for x in w.receipts],
-            {g.client.node: (g.client.zone, g.client.rate, g.client.delta, g.client.lines, dict(g.client.standing))
-             for g in self.gateways},
+            settings,
+            list(self.told),
+            [o for r in records for o in r.orders],
+            [t for r in records for t in r.tries],
+            [s for r in records for s in r.streams],
+            [x for w in self.workers for x in w.receipts],
+            {
+                g.client.node: (
+                    g.client.zone,
+                    g.client.rate,
+                    g.client.delta,
+                    g.client.lines,
+                    dict(g.client.standing),
+                )
+                for g in self.gateways
+            },
             {w.address: w.facts.cores * w.speed for w in self.workers},
-            self.deaf, end, self.dialled)
+            self.deaf,
+            end,
+            self.dialled,
+        )
         fell = [w.address for w in self.workers for _ in w.fell]
         return Result(evidence, ends, 0, [], fell, sum(r.lost for r in records))
 
@@ -332,8 +381,10 @@
             by[order.gateway].receive(order.data)
             result.replayed += 1
         result.changed = [n for n, was in before.items() if (repr(by[n].tables), repr(by[n].held)) != was]
-        if sum(len(w.receipts) for w in self.workers) != heard or sum(
-                len(g.record.tries) for g in self.gateways) != tries:
+        if (
+            sum(len(w.receipts) for w in self.workers) != heard
+            or sum(len(g.record.tries) for g in self.gateways) != tries
+        ):
             result.changed.append("workers' counters")
 
     # -- troubles
@@ -373,6 +424,7 @@
 
     async def deploy(self, count: int, every: float) -> None:
         """A rolling deploy: each drains, restarts cold and is listed again."""
+
         async def one(w: Worker) -> None:
             self.tell(w, "draining")
             await asyncio.sleep(self.day.grace + 0.5)
@@ -436,11 +488,15 @@
         self.gateways[gateway].reading.set()
 
     async def refuse(self, gateway: int, seconds: float) -> None:
-        """A gateway refuses each change of its endpoints for a while, removals apart, and reconnects halfway."""
+        """A gateway refuses each change of its endpoints for a while, removals apart, and reconnects
+        halfway."""
         client = self.gateways[gateway].client
         held = client.held
-        client.refuses = lambda kind, name, message: "not taken today" if (
-            kind.endswith("LbEndpoint") and name not in held[kind]) else None
+        client.refuses = (
+            lambda kind, name, message: "not taken today"
+            if (kind.endswith("LbEndpoint") and name not in held[kind])
+            else None
+        )
         await asyncio.sleep(seconds / 2)
         self.gateways[gateway].cut()
         await asyncio.sleep(seconds / 2)
--- a/swiftchute/drill/report.py
+++ b/swiftchute/drill/report.py
@@ -16,7 +16,9 @@
 def text(result: Result, verdicts: list[Verdict]) -> str:
     """A line a rule, and how invocations ended; stand-ins on one machine."""
     total = max(sum(result.ends.values()), 1)
-    ends = ", ".join(f"{name} {count} ({100 * count / total:.1f}%)" for name, count in sorted(result.ends.items()))
+    ends = ", ".join(
+        f"{name} {count} ({100 * count / total:.1f}%)" for name, count in sorted(result.ends.items())
+    )
     changed = f"changed {', '.join(result.changed)}" if result.changed else "nothing changed"
     lines = [v.line for v in verdicts]
     lines.append(f"orders delivered again: {result.replayed}, {changed}")
@@ -30,8 +32,16 @@
 
 def write(path: str, day: str, seed: int, result: Result, verdicts: list[Verdict]) -> None:
     """The same as JSON."""
-    found = {"day": day, "seed": seed, "broken": broken(result, verdicts), "rules": [asdict(v) for v in verdicts],
-             "invocations": result.ends, "replayed": result.replayed, "changed": result.changed,
-             "fell": result.fell, "lost": result.lost}
+    found = {
+        "day": day,
+        "seed": seed,
+        "broken": broken(result, verdicts),
+        "rules": [asdict(v) for v in verdicts],
+        "invocations": result.ends,
+        "replayed": result.replayed,
+        "changed": result.changed,
+        "fell": result.fell,
+        "lost": result.lost,
+    }
     with open(path, "wb") as out:
         out.write(msgspec.json.format(msgspec.json.encode(found), indent=2) + b"\n")
--- a/swiftchute/planner/core.py
+++ b/swiftchute/planner/core.py
@@ -85,6 +85,7 @@
         self.sums = Sums(settings.report_lines, settings.report_period)
         self.zones: dict[str, str] = {}
         self.list: dict[str, Any] = {}
+        self.barred: frozenset[str] = frozenset()  # servers listed as draining, or gone where gone binds
         self.joined: dict[int, _Joined] = {}
         self.sids: dict[str, int] = {}
         self.calls: list[Call] = []
@@ -126,7 +127,10 @@
         if old is not None:  # a proxy that dialled again before its broken stream was noticed, or a double
             self._cut(old, "ABORTED", f"node {peer.node} opened another stream")
         token = f"{self.life:x}.{sid}"
-        self.joined[sid] = _Joined(peer, Stream(delta, token, self.random.getrandbits(32)))
+        self.joined[sid] = _Joined(
+            peer, Stream(delta, token, self.random.getrandbits(32), delta and self._lines(peer))
+        )
+        self.joined[sid].stream.barred = self.barred
         self.sids[peer.node] = sid
         self.orders.joined(peer.node, peer.zone)
         self._call("joined", peer.node, peer.zone, peer.rate or self.proxy_rate, peer.fresh)
@@ -175,12 +179,23 @@
 
     def listed(self, news: News) -> None:
         """A good list brought these entries."""
+        barred = set(self.barred)
         for entry in news.entries:
             self.zones[entry[0]] = entry[1]
             if entry[4] == "gone":
                 self.list.pop(entry[0], None)
             else:
                 self.list[entry[0]] = entry
+            if entry[4] == "ready" or (entry[4] == "gone" and not self.set.gone_binds):
+                barred.discard(entry[0])
+            else:
+                barred.add(entry[0])
+        if barred != self.barred:
+            self.barred = frozenset(barred)
+            for sid, joined in self.joined.items():
+                joined.stream.barred = self.barred
+                if joined.stream.since is not None:  # what it goes by may not be what it was last sent
+                    self.touched.add(sid)
         self._call("listed", news.scope, list(news.entries))
 
     # -- a turn
@@ -301,7 +316,7 @@
 
     def _want(self, sid: int, seal: int | None, now: int) -> None:
         joined = self.joined[sid]
-        lines = self._lines(joined.peer) and joined.stream.delta
+        lines = joined.stream.lines
         held = self.orders.proxies[joined.peer.node]
         if held.bound:
             joined.carried = None
--- a/swiftchute/standin/relay.py
+++ b/swiftchute/standin/relay.py
@@ -1,4 +1,5 @@
-"""A TCP relay on loopback that troubles what passes: it delays, paces, cuts and refuses. One a gateway and planner."""
+"""A TCP relay on loopback that troubles what passes: it delays, paces, cuts and refuses. One a
+gateway and planner."""
 
 import asyncio
 from collections import deque
--- a/swiftchute/xds/stream.py
+++ b/swiftchute/xds/stream.py
@@ -96,9 +96,10 @@
     """The state of one stream; `delta` names its form, `token` makes its nonces differ from other
     streams'."""
 
-    def __init__(self, delta: bool, token: str, seed: int) -> None:
-        """Nothing is wanted and nothing known yet."""
-        self.delta, self.token, self.random = delta, token, random.Random(seed)
+    def __init__(self, delta: bool, token: str, seed: int, lines: bool = False) -> None:
+        """Nothing is wanted and nothing known yet; `lines`: endpoints come line by line."""
+        self.delta, self.token, self.random, self.lines = delta, token, random.Random(seed), lines
+        self.barred: frozenset[str] = frozenset()  # servers that drain or are gone, whatever tables say
         self.kinds = {url: _Kind(url) for url in names.ORDER}
         self.wanted: Wanted | None = None
         self.push = ""
@@ -217,8 +218,7 @@
             kind.apart.discard(name)
         answer = "kept"
         for name in changed:
-            wanted = self.wanted and self.wanted[kind.url].get(name)
-            if wanted and self._part(kind, name, wanted) is not None:
+            if self._part(kind, name) is not None:
                 answer = "part"
         return [Refused(kind.url, tuple(changed), request.error, answer)]
 
@@ -262,22 +262,43 @@
     def _chosen(self, kind: _Kind, leaving: bool, now: int) -> dict[str, Resource]:
         """What the client should hold of a type: the wanted, or what stands in for what it refused."""
         assert self.wanted is not None
-        wanted, chosen = self.wanted[kind.url], {}
-        for name in self._wanted_names(kind):
-            pick = self._instead(kind, name, wanted[name], now) if name in kind.refused else wanted[name]
+        wanted = self.wanted[kind.url]
+        chosen = {name: wanted[name] for name in self._wanted_names(kind)}
+        if kind.url in (names.CDS, names.EDS) and wanted:
+            aliases = ((name, self._alias(kind, name)) for name in kind.names - chosen.keys())
+            chosen |= {name: made for name, made in aliases if made is not None}
+        for name in chosen.keys() & kind.refused.keys():
+            pick = self._instead(kind, name, chosen.pop(name), now)
             if pick is not None:
                 chosen[name] = pick
-        if leaving and kind.url in (names.CDS, names.EDS, names.LEDS):
+        if leaving:
             # make before break: what the old routes name stays until the new ones are acknowledged
-            for name, resource in kind.held.items():
+            for name, resource in self._staying(kind).items():
                 chosen.setdefault(name, resource)
-        if not self.delta and not kind.wild and wanted:
-            for name in kind.names - chosen.keys():
-                alias = self._alias(kind, name)
-                if alias is not None:
-                    chosen[name] = alias
         return chosen
 
+    def _staying(self, kind: _Kind) -> dict[str, Resource]:
+        """What is held; of lines, not those of barred servers, unless a table would have no other.
+
+        A client that refuses its new tables goes by its old ones, perhaps of another planner: a drain must
+        reach
+        it there, and a line taken away is the one order that says nothing a client could refuse.
+        """
+        if kind.url != names.LEDS or not self.barred:
+            return kind.held
+        stays: dict[str, Resource] = {}
+        tables: dict[str, dict[str, Resource]] = {}
+        for name, resource in kind.held.items():
+            parts = names.line_parts(name)
+            if parts is None or parts[2] not in self.barred:
+                stays[name] = resource
+            tables.setdefault(parts[0] if parts else "", {})[name] = resource
+        for held in tables.values():
+            if not held.keys() & stays.keys():
+                stays |= held
+                self.kept = True
+        return stays
+
     def _alias(self, kind: _Kind, name: str) -> Resource | None:
         """A table's old name, still asked for by a client that was moved or comes from another planner.
 
@@ -286,13 +307,17 @@
         """
         assert self.wanted is not None
         routes = self.wanted[names.RDS]
-        if kind.url == names.CDS and names.operation_of(name) in routes:
+        if kind.url == names.CDS:
+            if self.delta or names.operation_of(name) not in routes:
+                return None  # a delta client keeps a cluster until it is told otherwise
             return cluster(name, name.partition("/")[0])
-        if kind.url != names.EDS or name == names.WITHDRAWN:
+        if kind.url != names.EDS or name == names.WITHDRAWN or self.lines:
             return None
-        table = name.partition("~")[0]
+        table, clusters = name.partition("~")[0], self.kinds[names.CDS]
         asked = [
-            names.operation_of(n) for n in sorted(self.kinds[names.CDS].names) if n.startswith(table + "/")
+            names.operation_of(n)
+            for n in sorted(clusters.names | clusters.held.keys())
+            if n.startswith(table + "/")
         ]
         for route in [routes[op] for op in asked if op in routes] or routes.values():
             for made in (self.wanted[names.CDS][ref] for _, ref in route.refs):
@@ -308,23 +333,22 @@
                 return wanted
             self.wake = min(self.wake or refusals.again, refusals.again)
         self.kept = True
-        part = self._part(kind, name, wanted)
+        part = self._part(kind, name)
         return part if part is not None else kind.held.get(name)
 
-    def _part(self, kind: _Kind, name: str, wanted: Resource) -> Resource | None:
-        """What the client holds less the servers that the wanted table does not name.
+    def _part(self, kind: _Kind, name: str) -> Resource | None:
+        """What the client holds less the barred servers.
 
         All that stays in it was accepted before, so it is the form least likely to be refused, and what
         leaves
-        must leave (a drain that a NACK holds up is a rule about to break). None if there is nothing to take
+        must leave: a drain that a NACK holds up is a rule about to break. None if there is nothing to take
         away,
         if nothing would be left, or if this was refused too.
         """
         held = kind.held.get(name)
         if held is None or not held.lines:
             return None
-        stay = {server for server, _, _ in wanted.lines}
-        lines = tuple(line for line in held.lines if line[0] in stay)
+        lines = tuple(line for line in held.lines if line[0] not in self.barred)
         if not lines or len(lines) == len(held.lines):
             return None
         part = assignment(name, lines, held.level)
@@ -351,7 +375,10 @@
             sent = {n: chosen[n] for n in changed | owed}
             if self.delta and bound:
                 missing = {n for n in kind.owed if n not in chosen and not n.endswith("/*")}
-                removed = tuple(sorted(missing | (set() if leaving else kind.held.keys() - chosen.keys())))
+                gone = kind.held.keys() - chosen.keys()
+                removed = tuple(sorted(missing | gone))
+                if removed and (kind.apart or kind.refused):
+                    sent = {}  # alone: what is added beside it might be refused, and the removal with it
             if not sent and not removed:
                 return None
         sent = dict(sorted(sent.items()))
