Part the planner's core from the xDS front: fronts serve its holdings and keep no tables

A second front (DNS) is to share core, decisions and rules; the core knew streams and resources.

planner/core.py drives the module, the channel and the sums and knows proxies only; xds/front.py keeps streams and asks the core what a proxy should hold. Tables are indexed by their proxies, and a round's lines are counted by table.

--- a/swiftchute/drill/day.py
+++ b/swiftchute/drill/day.py
@@ -36,6 +36,7 @@
     "reserve-refresh": (0.18, 0.26, "1500ms", "5s", 2, "idempotent"),
     "bid-record": (0.12, 0.06, "1500ms", "5s", 2, "side-effecting"),
 }
+STANDING = 6  # lines of the table that a gateway starts with
 LIST_LATE = 1.5  # seconds until the list tells of a death or a start
 
 
@@ -73,8 +74,8 @@
 
 DAYS = {
     "bad-day": Day(
-        "a fifth of the workers die and come back cold; a rolling deploy; a planner stands still, dies and returns;"
-        " gateways lose their planner; a gateway refuses a version; a slow channel",
+        "a fifth of the workers die and come back cold; a rolling deploy; a planner stands still, dies and"
+        " returns; gateways lose their planner; a gateway refuses a version; a slow channel",
         54.0,
         (
             _t(6, "die", 0.2),
@@ -237,23 +238,52 @@
     def settings(self, number: int, port: int, **loose: Any) -> str:
         """The HCL of one planner."""
         day = replace(self.day, **loose)
-        rows = "".join(
-            f'operation "{name}" {{\n  latency_objective = "{aim}"\n  integration_timeout = "{last}"\n'
-            f'  billed_value = {value}\n  late_value = 0.2\n  repeats = "{repeats}"\n}}\n'
+        operations = [
+            _block(
+                f'operation "{name}"',
+                latency_objective=aim,
+                integration_timeout=last,
+                billed_value=value,
+                late_value=0.2,
+                repeats=repeats,
+            )
             for name, (_, _, aim, last, value, repeats) in OPERATIONS.items()
-        )
-        zones = ", ".join(f'"{z}"' for z in ZONES)
-        return (
-            f'service {{\n  zones = [{zones}]\n  zone = "{ZONES[number % len(ZONES)]}"\n  planner = {number}\n'
-            f"  planners = {day.planners}\n  proxies = {day.gateways}\n  standing_lines = 6\n  avoids_after = 5\n"
-            f"  seed = {self.seed * 100 + number}\n}}\n{rows}"
-            f'rules {{\n  drain_grace = "{day.grace}s"\n  start_capacity = 0.2\n  warm_within = "{day.warm_within}s"\n'
-            f'  fall_multiple = 2.5\n  fall_span = "2s"\n  bare_limit = "{day.bare_limit}s"\n}}\n'
-            f"channel {{\n  pace = {day.pace}\n  limit = {day.limit}\n  message_lines = 6\n"
-            f'  message_limit = {day.messages}\n  message_window = "10s"\n}}\n'
-            f'reports {{\n  period = "500ms"\n  lines = 300\n}}\n'
-            f'list "file" {{\n  path = "{self.list}"\n  every = "100ms"\n}}\n'
-            f'xds {{\n  listen = "127.0.0.1:{port}"\n  ack_within = "10s"\n  read_within = "8s"\n}}\n'
+        ]
+        return "\n".join(
+            [
+                _block(
+                    "service",
+                    zones=ZONES,
+                    zone=ZONES[number % len(ZONES)],
+                    planner=number,
+                    planners=day.planners,
+                    proxies=day.gateways,
+                    standing_lines=STANDING,
+                    avoids_after=5,
+                    seed=self.seed * 100 + number,
+                ),
+                *operations,
+                _block(
+                    "rules",
+                    drain_grace=f"{day.grace}s",
+                    start_capacity=0.2,
+                    warm_within=f"{day.warm_within}s",
+                    fall_multiple=2.5,
+                    fall_span="2s",
+                    bare_limit=f"{day.bare_limit}s",
+                ),
+                _block(
+                    "channel",
+                    pace=day.pace,
+                    limit=day.limit,
+                    message_lines=6,
+                    message_limit=day.messages,
+                    message_window="10s",
+                ),
+                _block("reports", period="500ms", lines=300),
+                _block('list "file"', path=self.list, every="100ms"),
+                _block("xds", listen=f"127.0.0.1:{port}", ack_within="10s", read_within="8s"),
+            ]
         )
 
     async def _fleet(self) -> None:
@@ -290,7 +320,7 @@
             share = 0.5 + self.random.random()
             client = Client(f"gw-{k:02}", zone, day.rate * share, delta=k % 4 != 3, lines=k % 2 == 0)
             own = [w.address for w in self.workers if w.zone == zone]
-            client.standing = dict.fromkeys(self.random.sample(own, min(6, len(own))), 1)
+            client.standing = dict.fromkeys(self.random.sample(own, min(STANDING, len(own))), 1)
             gateway = Gateway(client, dial, self.random.getrandbits(32), keepalive=0.8)
             self.gateways.append(gateway)
             gateway.start()
@@ -503,6 +533,13 @@
         client.refuses = lambda kind, name, message: None
 
 
+def _block(head: str, **values: Any) -> str:
+    """A block of HCL: its plain values are written as JSON's are."""
+    return "\n".join(
+        [f"{head} {{", *(f"  {key} = {json.dumps(value)}" for key, value in values.items()), "}"]
+    )
+
+
 def _free_port() -> int:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
--- a/swiftchute/planner/orders.py
+++ b/swiftchute/planner/orders.py
@@ -5,7 +5,6 @@
 `Round` from `end()`. The state here is what every front serves from; no front keeps tables of its own.
 """
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -44,7 +43,7 @@
     lines: dict[Any, int] = field(default_factory=dict)
     seal: int | None = None
     everyone: bool = False
-    tables: set[int] = field(default_factory=set)
+    tables: dict[int, int] = field(default_factory=dict)  # changed tables, with their changed lines
     withdrawals: bool = False
     timers: list[tuple[int, int]] = field(default_factory=list)
     logs: list[str] = field(default_factory=list)
@@ -62,22 +61,29 @@
         self.proxies: dict[Any, Held] = {}
         self.shut: set[str] = set()
         self.common: dict[int, tuple[float, int]] = {}  # levels set for all tables, by operation
+        self.on: dict[int, dict[Any, None]] = {}  # table -> the proxies bound to it
         self.round = Round()
 
     # -- the program's side
 
     def joined(self, proxy: Any, zone: str) -> None:
         """A proxy joins, bound to nothing; earlier bindings of it are gone."""
+        self.left(proxy)
         self.proxies[proxy] = Held(zone)
 
     def left(self, proxy: Any) -> None:
         """A proxy's stream broke: its binding ends with it."""
-        self.proxies.pop(proxy, None)
+        held = self.proxies.pop(proxy, None)
+        for table in held.bound.values() if held else ():
+            self.on[table].pop(proxy, None)
 
     def end(self) -> Round:
         """The round since the last call; withdrawn servers and whole tables are counted as the wire
         page says."""
         done, self.round = self.round, Round()
+        for table, lines in done.tables.items():
+            for proxy in self.on.get(table, ()):
+                done.lines[proxy] = done.lines.get(proxy, 0) + lines
         if done.seal is not None:
             for proxy in self.proxies if done.everyone else done.lines:
                 done.lines[proxy] = done.lines.get(proxy, 0) + 1  # the mark is a line of each message
@@ -92,10 +98,6 @@
         tries = own[1] if operation in self.tables[table].levels else common[1]
         return min(own[0], common[0]), tries
 
-    def on(self, table: int) -> list[Any]:
-        """The proxies bound to a table."""
-        return [p for p, held in self.proxies.items() if table in held.bound.values()]
-
     # -- the module's side (interface.Writer)
 
     def _table(self, number: int) -> Table:
@@ -105,9 +107,7 @@
 
     def _touch(self, number: int, lines: int = 1) -> None:
         self.tables[number].revision += 1
-        self.round.tables.add(number)
-        for proxy in self.on(number):
-            self.round.lines[proxy] = self.round.lines.get(proxy, 0) + lines
+        self.round.tables[number] = self.round.tables.get(number, 0) + lines
 
     def line(self, table: int, server: str, weight: float) -> None:
         """Set one line of a table; weight 0 takes it away."""
@@ -130,11 +130,16 @@
         """Put a proxy on a table for the operations of the mask; the whole table is written to it."""
         if proxy not in self.proxies:
             return  # it has left meanwhile
-        held = self._table(table)
+        held, bound = self._table(table), self.proxies[proxy].bound
         for place in self._places(mask):
-            self.proxies[proxy].bound[place] = table
+            old = bound.get(place)
+            bound[place] = table
+            if old is not None and old not in bound.values():
+                self.on[old].pop(proxy, None)
+        self.on.setdefault(table, {})[proxy] = None
+        # lines of this round that stood before the bind go with the whole table
         whole = 1 + len(held.lines) + len(held.levels) + len(self.shut & held.lines.keys()) + len(self.common)
-        self.round.lines[proxy] = self.round.lines.get(proxy, 0) + whole
+        self.round.lines[proxy] = self.round.lines.get(proxy, 0) + whole - self.round.tables.get(table, 0)
 
     def _places(self, mask: int) -> list[int]:
         return [k for k in range(len(self.set.operations)) if not mask or mask >> k & 1]
@@ -151,7 +156,7 @@
         self.common |= levels
         for number in self.tables:
             self.tables[number].revision += 1
-            self.round.tables.add(number)
+            self.round.tables.setdefault(number, 0)
         for proxy in self.proxies:
             self.round.lines[proxy] = self.round.lines.get(proxy, 0) + 1
 
@@ -162,7 +167,7 @@
         for number, table in self.tables.items():
             if server in table.lines:
                 table.revision += 1
-                self.round.tables.add(number)
+                self.round.tables.setdefault(number, 0)
         for proxy, held in self.proxies.items():
             if not held.bound or any(server in self.tables[t].lines for t in held.bound.values()):
                 self.round.lines[proxy] = self.round.lines.get(proxy, 0) + 1
@@ -199,8 +204,3 @@
     def tell(self, peer: int | None, data: bytes) -> None:
         """Messages between planners are not allowed by the settings."""
         raise BadOrder(f"message to {peer}: the settings allow none")
-
-
-def open_lines(table: Table, shut: set[str], zones: Mapping[str, str]) -> tuple[tuple[str, str, float], ...]:
-    """The lines a proxy may pick: (server, zone, weight) without withdrawn ones, in the order of servers."""
-    return tuple((s, zones.get(s, ""), w) for s, w in sorted(table.lines.items()) if s not in shut)
--- a/swiftchute/planner/service.py
+++ b/swiftchute/planner/service.py
@@ -7,11 +7,12 @@
 
 from swiftchute.config import Config
 from swiftchute.observe.log import mode_fields
-from swiftchute.planner.core import Core, Out
+from swiftchute.planner.core import Core
 from swiftchute.policy import Planner
 from swiftchute.registry.lists import BadList, Registry
 from swiftchute.registry.sources import FileSource, HttpSource
-from swiftchute.xds.shell import Front
+from swiftchute.xds.front import Front, Out
+from swiftchute.xds.shell import Shell
 
 S = 1_000_000_000
 ROUND = 5_000_000  # what comes in within so long makes one round, as in the bench's rounds
@@ -26,18 +27,20 @@
         self.config, self.log = config, log
         self.clock = time.monotonic_ns
         now = self.clock()
-        self.core = Core(
+        self.core = Core(config.settings, config.seed, make, now)
+        xds, life = config.xds, int(time.time() * 1000)
+        self.front = Front(
+            self.core,
             config.settings,
+            life,
+            xds["ack_within"],
+            xds["proxy_rate"],
+            xds["streams"],
             config.seed,
-            int(time.time() * 1000),
-            make,
-            config.xds["ack_within"],
-            config.xds["proxy_rate"],
-            config.xds["streams"],
-            now,
         )
         self.registry = Registry(config.settings.zones, time.time_ns() - now)
-        self.front = Front(self.core, config.settings, config.xds, self.kick, self.clock, log)
+        self.shell = Shell(self.front, config.settings, xds, self.kick, self.clock, log)
+        self.stop, self.fault = asyncio.Event(), None
         self.handle: asyncio.TimerHandle | None = None
         self.at = 0
         self.address: tuple[str, int] | None = None
@@ -83,9 +86,17 @@
 
     def _turn(self) -> None:
         self.handle = None
-        out = self.core.turn(self.clock())
-        self.front.carry_out(out)
-        self._events(out)
+        now = self.clock()
+        try:
+            out = self.front.turn(self.core.turn(now), now)
+            self.shell.carry_out(out)
+            self._events(out)
+        except Exception as why:
+            # a fault of the program itself, not of the module: state may be half changed, so the process ends
+            # with an error and is started anew; proxies keep their tables meanwhile
+            self.fault = why
+            self.stop.set()
+            raise
         self._plan(max(self.core.due, self.clock() + 1_000_000))
 
     def _events(self, out: Out) -> None:
@@ -96,24 +107,25 @@
 
     async def run(self, ready: Any = None, signals: bool = True) -> None:
         """Serve until SIGTERM or SIGINT, or cancelled; `ready(address)` is called once streams are taken."""
-        stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT) if signals else ():
-            asyncio.get_running_loop().add_signal_handler(number, stop.set)
-        self.address = await self.front.start()
+            asyncio.get_running_loop().add_signal_handler(number, self.stop.set)
+        self.address = await self.shell.start()
         source = asyncio.ensure_future(self.source.run())
         self.log.info("serving", address=f"{self.address[0]}:{self.address[1]}")
         if ready is not None:
             ready(self.address)
         self.kick()
-        stopped = asyncio.ensure_future(stop.wait())
+        stopped = asyncio.ensure_future(self.stop.wait())
         try:
             await asyncio.wait([stopped, source], return_when=asyncio.FIRST_COMPLETED)
             if source.done():
                 source.result()
+            if self.fault is not None:
+                raise self.fault
         finally:
             source.cancel()
             stopped.cancel()
             if self.handle is not None:
                 self.handle.cancel()
-            await self.front.stop()
-            self.log.info("stopped", counts=self.core.counts)
+            await self.shell.stop()
+            self.log.info("stopped", counts=self.core.counts | self.front.counts)
--- a/swiftchute/xds/names.py
+++ b/swiftchute/xds/names.py
@@ -23,12 +23,6 @@
 )
 
 
-def table_name(planner: int, table: int) -> str:
-    """The EDS name of a table: the planner is in it, as planners that share nothing number their
-    tables alike."""
-    return f"{planner}.{table}"
-
-
 def cluster_name(table: str, operation: str) -> str:
     """The cluster of one operation on a table; load reports name it, so sums are told apart by operation."""
     return f"{table}/{operation}"
--- a/swiftchute/xds/resources.py
+++ b/swiftchute/xds/resources.py
@@ -15,7 +15,7 @@
 a locality a zone, with a collection of lines.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from functools import lru_cache
 
@@ -55,6 +55,7 @@
 from google.protobuf.wrappers_pb2 import UInt32Value
 
 from swiftchute.interface import Operation, Settings
+from swiftchute.planner.core import Content, Holding, Line
 from swiftchute.xds import names
 
 WEIGHT_UNIT = 10_000  # the module's weights have four decimals; xDS takes whole numbers of 1 or more
@@ -69,8 +70,6 @@
     3: ("5xx,reset,connect-failure,unavailable", 2),
 }
 
-Line = tuple[str, str, float]  # server, its zone, weight
-
 
 @dataclass(frozen=True, eq=False)
 class Resource:
@@ -88,14 +87,6 @@
 Wanted = Mapping[str, Mapping[str, Resource]]
 
 
-@dataclass(frozen=True)
-class Content:
-    """What a table holds: lines by server, and by operation the level and the way of further tries."""
-
-    lines: tuple[Line, ...]
-    levels: tuple[tuple[float, int], ...]  # a row an operation of the settings
-
-
 def _resource(
     kind: str,
     name: str,
@@ -160,6 +151,31 @@
     return _resource(names.CDS, name, made, [(names.EDS, service)])
 
 
+@lru_cache(maxsize=65_536)
+def line(name: str, server: str, weight: int) -> Resource:
+    """One line of a table, for clients that take them one by one."""
+    return _resource(names.LEDS, name, _endpoint(server, weight))
+
+
+def collections(name: str, lines: tuple[Line, ...], level: float) -> Resource:
+    """A table whose lines come one by one: a locality a zone, with a glob collection of lines."""
+    made, refs = ClusterLoadAssignment(cluster_name=name), []
+    table = name.partition("~")[0]
+    for zone in sorted({zone for _, zone, _ in lines}):
+        glob = names.collection(table, zone)
+        refs.append((names.LEDS, glob))
+        by_line = LedsClusterLocalityConfig(leds_config=_ads(), leds_collection_name=glob)
+        made.endpoints.append(
+            LocalityLbEndpoints(
+                locality=Locality(zone=zone),
+                load_balancing_weight=UInt32Value(value=1),
+                leds_cluster_locality_config=by_line,
+            )
+        )
+    _level(made, level)
+    return _resource(names.EDS, name, made, refs, level=level)
+
+
 @lru_cache(maxsize=64)
 def withdrawn(servers: frozenset[str]) -> Resource:
     """The servers shut out for proxies that are not bound, each DRAINING: a table that only takes away."""
@@ -177,15 +193,16 @@
 
 
 class Translator:
-    """Builds resources for one planner; keeps what it built until `forget` or a table's next change."""
+    """Builds resources for one planner; keeps what it built of a table until the table's next change."""
 
     def __init__(self, settings: Settings) -> None:
         """`settings` name the operations, their time-outs and this planner's number."""
         self.set = settings
         self.listeners = {op.name: self._listener(op.name) for op in settings.operations}
-        self.made: dict[tuple[object, ...], dict[str, dict[str, Resource]]] = {}
+        self.places = {op.name: place for place, op in enumerate(settings.operations)}
+        self.tables: dict[tuple[str, bool], tuple[Content, dict[str, dict[str, Resource]]]] = {}
+        self.built: dict[tuple[object, bool], tuple[Holding, Wanted]] = {}
         self.routes: dict[tuple[str, str, int], Resource] = {}
-        self.shut = withdrawn(frozenset())
 
     def _listener(self, name: str) -> Resource:
         manager = HttpConnectionManager(
@@ -215,86 +232,57 @@
             self.routes[key] = _resource(names.RDS, op.name, made, [(names.CDS, cluster)])
         return self.routes[key]
 
-    def shut_out(self, servers: Iterable[str]) -> None:
-        """The servers withdrawn for proxies that are not bound yet."""
-        self.shut = withdrawn(frozenset(servers))
-
-    def forget(self, table: str) -> None:
-        """A table changed: what was built of it is built anew when next wanted."""
-        for key in [key for key in self.made if key[0] == table]:
-            del self.made[key]
-
     def table(self, table: str, content: Content, lines: bool) -> dict[str, dict[str, Resource]]:
-        """The EDS (and, line by line, LEDS) resources of a table, by an operation's EDS name."""
-        key = (table, lines)
-        if key not in self.made:
-            by: dict[str, dict[str, Resource]] = {names.EDS: {}, names.LEDS: {}}
-            for op, (level, _) in zip(self.set.operations, content.levels, strict=True):
-                name = self.service(table, content, op.name)
-                if name in by[names.EDS]:
-                    continue
-                if not lines:
-                    by[names.EDS][name] = assignment(name, content.lines, level)
-                    continue
-                by[names.EDS][name] = self._collections(name, table, content.lines, level)
-            if lines:
-                for (server, zone, _), weight in zip(
-                    content.lines, whole_weights(content.lines), strict=True
-                ):
-                    made = _resource(
-                        names.LEDS, names.line_name(table, zone, server), _endpoint(server, weight)
-                    )
-                    by[names.LEDS][made.name] = made
-            self.made[key] = by
-        return self.made[key]
-
-    def _collections(self, name: str, table: str, lines: tuple[Line, ...], level: float) -> Resource:
-        made = ClusterLoadAssignment(cluster_name=name)
-        refs = []
-        for zone in sorted({zone for _, zone, _ in lines}):
-            glob = names.collection(table, zone)
-            refs.append((names.LEDS, glob))
-            made.endpoints.append(
-                LocalityLbEndpoints(
-                    locality=Locality(zone=zone),
-                    load_balancing_weight=UInt32Value(value=1),
-                    leds_cluster_locality_config=LedsClusterLocalityConfig(
-                        leds_config=_ads(), leds_collection_name=glob
-                    ),
-                )
-            )
-        _level(made, level)
-        return _resource(names.EDS, name, made, refs, level=level)
-
-    def service(self, table: str, content: Content, operation: str) -> str:
-        """The EDS name an operation uses: the table's, or one of its own where its level differs from
-        the first's."""
-        place = next(k for k, op in enumerate(self.set.operations) if op.name == operation)
+        """The EDS (and, line by line, LEDS) resources of a table; the same objects until it changes."""
+        kept = self.tables.get((table, lines))
+        if kept is not None and kept[0] is content:
+            return kept[1]
+        by: dict[str, dict[str, Resource]] = {names.EDS: {}, names.LEDS: {}}
+        for place, (level, _) in enumerate(content.levels):
+            name = self._service(table, content, place)
+            if name not in by[names.EDS]:
+                make = collections if lines else assignment
+                by[names.EDS][name] = make(name, content.lines, level)
+        if lines:
+            for (server, zone, _), weight in zip(content.lines, whole_weights(content.lines), strict=True):
+                name = names.line_name(table, zone, server)
+                by[names.LEDS][name] = line(name, server, weight)
+        self.tables[table, lines] = (content, by)
+        return by
+
+    def _service(self, table: str, content: Content, place: int) -> str:
+        """The EDS name an operation uses: one of its own where its level differs from the first
+        operation's."""
         own = content.levels[place][0] != content.levels[0][0]
-        return f"{table}~{operation}" if own else table
+        return f"{table}~{self.set.operations[place].name}" if own else table
 
-    def wanted(self, tables: Mapping[str, Content], bound: Mapping[str, str], lines: bool) -> Wanted:
-        """All that a proxy should hold.
+    def wanted(self, holding: Holding, shut: Collection[str], lines: bool) -> Wanted:
+        """All that a proxy should have: `shut` servers only, if it is bound to nothing; `lines`: line by
+        line.
 
-        `bound` maps an operation to its table's name; without any, only the withdrawn servers are told.
-        `lines`
-        asks for endpoints line by line.
+        The same object for the same holding, so that a push to a group is worked out once.
         """
-        made: dict[str, dict[str, Resource]] = {kind: {} for kind in names.ORDER}
-        made[names.EDS][names.WITHDRAWN] = self.shut if not bound else withdrawn(frozenset())
-        for op in self.set.operations if bound else ():
-            table = bound.get(op.name)
-            if table is None:
-                continue
-            content = tables[table]
-            held = names.cluster_name(table, op.name)
-            place = self.set.operations.index(op)
-            made[names.CDS][held] = cluster(held, self.service(table, content, op.name))
+        if not holding.bound:
+            made: dict[str, dict[str, Resource]] = {kind: {} for kind in names.ORDER}
+            made[names.EDS][names.WITHDRAWN] = withdrawn(frozenset(shut))
+            return made
+        kept = self.built.get((holding.bound, lines))
+        if kept is not None and kept[0] is holding:
+            return kept[1]
+        made = {kind: {} for kind in names.ORDER}
+        made[names.EDS][names.WITHDRAWN] = withdrawn(frozenset())
+        for operation, table in holding.bound:
+            content, place = holding.contents[table], self.places[operation]
+            held = names.cluster_name(table, operation)
+            made[names.CDS][held] = cluster(held, self._service(table, content, place))
             built = self.table(table, content, lines)
             for kind in (names.EDS, names.LEDS):
                 made[kind] |= built[kind]
-            made[names.LDS][op.name] = self.listeners[op.name]
-            made[names.RDS][op.name] = self._route(op, held, content.levels[place][1])
+            made[names.LDS][operation] = self.listeners[operation]
+            made[names.RDS][operation] = self._route(
+                self.set.operations[place], held, content.levels[place][1]
+            )
+        self.built[holding.bound, lines] = (holding, made)
         return made
 
 
--- a/swiftchute/xds/shell.py
+++ b/swiftchute/xds/shell.py
@@ -21,6 +21,7 @@
 
 from swiftchute.interface import Settings
 from swiftchute.xds import loads, messages
+from swiftchute.xds.front import Front, Out
 from swiftchute.xds.messages import Violation
 
 S = 1_000_000_000
@@ -58,12 +59,12 @@
     return bytes(await stream._stream.recv_data(size))
 
 
-class Front:
-    """Serves ADS in both forms and LRS for one core; `kick` asks the planner's loop for a turn."""
+class Shell:
+    """Serves ADS in both forms and LRS for one front; `kick` asks the planner's loop for a turn."""
 
     def __init__(
         self,
-        core: Any,
+        front: Front,
         settings: Settings,
         plumbing: dict[str, Any],
         kick: Callable[[], None],
@@ -71,8 +72,8 @@
         log: Any,
     ) -> None:
         """`plumbing` is the `xds` block of the settings."""
-        self.core, self.set, self.plumbing, self.kick, self.clock, self.log = (
-            core,
+        self.front, self.set, self.plumbing, self.kick, self.clock, self.log = (
+            front,
             settings,
             plumbing,
             kick,
@@ -137,12 +138,12 @@
             if data is None:
                 return
             request, node = messages.decode(data, delta)
-            self.core.opened(sid, messages.peer(node, self.set.zones), delta, self.clock())
+            self.front.opened(sid, messages.peer(node, self.set.zones), delta, self.clock())
             self.queues[sid] = asyncio.Queue(QUEUE)
             self.deltas[sid] = delta
             writer = asyncio.ensure_future(self._write(sid, stream, asyncio.current_task()))
             while True:
-                self.core.request(sid, request, self.clock())
+                self.front.request(sid, request, self.clock())
                 self.kick()
                 data = await receive(stream, most)
                 if data is None:
@@ -167,7 +168,7 @@
                 writer.cancel()
             self.queues.pop(sid, None)
             self.deltas.pop(sid, None)
-            self.core.closed(sid, cause)
+            self.front.closed(sid, cause)
             self.kick()
 
     async def _write(self, sid: int, stream: Stream, reader: Any) -> tuple[str, str]:
@@ -190,7 +191,7 @@
         reader.cancel()
         return end
 
-    def carry_out(self, out: Any) -> None:
+    def carry_out(self, out: Out) -> None:
         """Queue a turn's replies and cuts."""
         for sid, reply in out.replies:
             queue = self.queues.get(sid)
@@ -223,7 +224,7 @@
             peer = messages.peer(node, self.set.zones)
             await stream.send_message(loads.answer(self.set.report_period))
             while True:
-                self.core.report(peer.node, report, self.clock())
+                self.front.report(peer.node, report, self.clock())
                 self.kick()
                 data = await receive(stream, self.plumbing["max_message"])
                 if data is None:
