--- a/swiftchute/xds/names.py
+++ b/swiftchute/xds/names.py
@@ -23,6 +23,13 @@
 )
 
 
+def is_table(name: str) -> bool:
+    """Whether an EDS name has the form of a table's: of this planner, of an earlier life or of
+    another planner."""
+    planner, dot, rest = name.partition("~")[0].partition(".")
+    return bool(dot) and planner.isdecimal() and rest.isdecimal()
+
+
 def cluster_name(table: str, operation: str) -> str:
     """The cluster of one operation on a table; load reports name it, so sums are told apart by operation."""
     return f"{table}/{operation}"
--- a/swiftchute/xds/stream.py
+++ b/swiftchute/xds/stream.py
@@ -306,14 +306,14 @@
         this its old routes would name nothing while it takes in the new ones, and drains could not reach it.
         """
         assert self.wanted is not None
-        routes = self.wanted[names.RDS]
+        routes, table = self.wanted[names.RDS], name.partition("/")[0].partition("~")[0]
         if kind.url == names.CDS:
-            if self.delta or names.operation_of(name) not in routes:
+            if self.delta or names.operation_of(name) not in routes or not names.is_table(table):
                 return None  # a delta client keeps a cluster until it is told otherwise
-            return cluster(name, name.partition("/")[0])
-        if kind.url != names.EDS or name == names.WITHDRAWN or self.lines:
+            return cluster(name, table)
+        if kind.url != names.EDS or self.lines or not names.is_table(name):
             return None
-        table, clusters = name.partition("~")[0], self.kinds[names.CDS]
+        clusters = self.kinds[names.CDS]
         asked = [
             names.operation_of(n)
             for n in sorted(clusters.names | clusters.held.keys())
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,254 @@
+"""The planner's core without I/O: channel, orders, sums, rounds, and faults of the module."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from swiftchute.interface import Settings
+from swiftchute.planner.channel import Channel
+from swiftchute.planner.core import Core
+from swiftchute.planner.orders import BadOrder, Orders
+from swiftchute.planner.sums import Report, Sums
+from swiftchute.policy import Planner
+from swiftchute.registry.lists import News
+from tests.conftest import FACTS, operation
+
+S = 1_000_000_000
+SETTINGS = Settings(**(FACTS | {"operations": (operation("read"), operation("write"))}))
+
+
+# -- channel
+
+
+@given(
+    puts=st.lists(st.tuples(st.integers(0, 5), st.integers(1, 40), st.integers(0, S)), max_size=40),
+    cap=st.integers(0, 3),
+)
+@hypothesis_settings(max_examples=100, deadline=None, derandomize=True)
+def test_a_channel_never_holds_or_sends_more_than_it_may(puts, cap):
+    channel, now, left = Channel(50.0, 100.0, 5.0, cap, 10 * S), 0, []
+    for proxy, lines, wait in puts:
+        fits = channel.lines + lines + 5 * (proxy not in channel.waiting) <= 100
+        assert channel.put({proxy: lines}, now) == ([] if fits else [proxy])
+        assert sum(channel.waiting.values()) == pytest.approx(channel.lines)
+        assert channel.lines <= 100
+        now += wait
+        left += [(now, proxy, cost) for proxy, cost in channel.take(now)]
+        assert sum(cost for _, _, cost in left) <= 50 * now / S + 1e-3
+    for proxy in range(6):
+        at = [t for t, p, _ in left if p == proxy]
+        assert not cap or all(at[k + cap] - at[k] > 10 * S for k in range(len(at) - cap))
+
+
+def test_a_message_leaves_after_its_lines_at_the_pace_and_in_order():
+    channel = Channel(100.0, 1000.0, 6.0)
+    channel.put({"a": 44, "b": 94}, 0)
+    assert channel.take(S // 2 - 1) == []
+    assert channel.take(S // 2) == [("a", 50)]
+    assert channel.due == S // 2 + S
+    assert channel.take(2 * S) == [("b", 100)]
+
+
+def test_later_orders_widen_the_waiting_message():
+    channel = Channel(100.0, 1000.0, 6.0)
+    channel.put({"a": 10}, 0)
+    channel.put({"a": 10}, 0)
+    assert channel.take(S) == [("a", 26)]
+
+
+def test_a_proxy_over_its_allowance_waits_and_others_pass_it():
+    channel = Channel(1e6, 1e6, 1.0, messages=1, window=10 * S)
+    channel.put({"a": 1}, 0)
+    assert channel.take(S) == [("a", 2)]
+    channel.put({"a": 1, "b": 1}, S)
+    assert channel.take(2 * S) == [("b", 2)]
+    assert channel.due == 11 * S + 1
+    assert channel.take(11 * S + 1) == [("a", 2)]
+
+
+# -- orders
+
+
+@pytest.fixture
+def orders():
+    made = Orders(SETTINGS)
+    made.joined("p", "east")
+    made.joined("q", "east")
+    return made
+
+
+def test_a_bind_costs_its_table_once_and_later_lines_one_each(orders):
+    orders.line(1, "a:1", 1.0)
+    orders.line(1, "b:1", 1.0)
+    orders.bind("p", 1, 0)
+    orders.mark(3, False)
+    done = orders.end()
+    assert (done.lines, done.seal) == ({"p": 4}, 3)  # the bind, two lines, the mark
+    orders.line(1, "a:1", 0)
+    assert orders.end().lines == {"p": 1}
+
+
+def test_a_withdrawal_reaches_the_unbound_and_those_whose_tables_name_it(orders):
+    orders.line(1, "a:1", 1.0)
+    orders.bind("p", 1, 0)
+    orders.end()
+    orders.withdraw("z:1", True)
+    assert orders.end().lines == {"q": 1}
+    orders.withdraw("a:1", True)
+    assert orders.end().lines == {"p": 1, "q": 1}
+
+
+def test_of_two_levels_the_lower_holds_with_the_tables_own_tries(orders):
+    orders.admit(1, 0b01, 0.5, 0)
+    orders.admit(None, 0, 0.7, 2)
+    assert [orders.level(1, k) for k in (0, 1)] == [(0.5, 0), (0.7, 2)]
+
+
+@pytest.mark.parametrize(
+    ("verb", "arguments"),
+    [("line", (1, "a:1", float("nan"))), ("line", (1, "a:1", -1.0)), ("line", (65_535, "a:1", 1.0)),
+     ("admit", (1, 0, -0.1, 0)), ("admit", (1, 0, 1.0, 4)), ("probe", ("a:1",)), ("tell", (1, b""))],
+)  # fmt: skip
+def test_orders_that_cannot_be_are_the_modules_fault(orders, verb, arguments):
+    with pytest.raises(BadOrder):
+        getattr(orders, verb)(*arguments)
+
+
+# -- sums
+
+
+def test_sums_are_told_oldest_first_and_the_rest_adds_up():
+    sums = Sums(lines=2.0, period=S)
+    sums.add(
+        "p", "east", Report(S, (("read", 5, 1),), (("a:1", 4, 1, 300, 3), ("x:9", 4, 0, 1, 1))), {"a:1"}, S
+    )
+    sums.add("q", "east", Report(S, (("read", 3, 0),), (("a:1", 2, 0, 200, 2),)), {"a:1"}, 2 * S)
+    assert sums.take(2 * S) == [
+        ("arrived", ("p", "read", 5, 1, 2 * S)),
+        ("met", ("east", "a:1", 6, 1, 100, 2 * S, None)),
+    ]
+    assert sums.take(2 * S + 1) == []
+    assert sums.take(3 * S) == [("arrived", ("q", "read", 3, 0, 2 * S))]
+
+
+def test_a_client_that_tells_no_times_does_not_look_infinitely_fast():
+    """The module divides by the cost of a good answer: 0 would end it."""
+    sums = Sums(lines=100.0, period=S)
+    sums.add("p", "east", Report(S, (), (("a:1", 4, 0, 0, 0), ("b:1", 2, 0, 500, 2))), {"a:1", "b:1"}, S)
+    assert [c[1][4] for c in sums.take(S)] == [250, 250]
+    sums.add("p", "east", Report(S, (), (("a:1", 4, 0, 0, 0),)), {"a:1"}, 2 * S)
+    assert [c[1][4] for c in sums.take(2 * S)] == [1]
+
+
+# -- rounds and faults
+
+
+def news(*servers, scope="held", state="ready"):
+    return News(scope, tuple((s, "east", "", 0, state, 1.0, 0) for s in servers), ())
+
+
+class Failing(Planner):
+    """Fails when told to."""
+
+    fails = False
+
+    def decide(self, now, calls, writer):
+        if Failing.fails:
+            raise ZeroDivisionError("on purpose")
+        super().decide(now, calls, writer)
+
+
+@pytest.fixture
+def core():
+    Failing.fails = False
+    made = Core(SETTINGS, 7, Failing)
+    made.listed(news("a:1", "b:1"))
+    made.joined("p", "east", 10.0, True)
+    return made
+
+
+def play(core, start, seconds, answer=True):
+    """Turns every 100 ms; pushes are answered at once."""
+    turns = []
+    for k in range(int(seconds * 10)):
+        now = start + k * S // 10
+        turn = core.turn(now)
+        turns.append(turn)
+        for proxy, seal in turn.pushes if answer else ():
+            if seal is not None:
+                core.applied(proxy, seal, now)
+    return turns
+
+
+def test_a_proxy_is_bound_and_holds_both_operations(core):
+    turns = play(core, 0, 2)
+    assert [p for t in turns for p, _ in t.pushes]
+    held = core.held("p")
+    assert [op for op, _ in held.bound] == ["read", "write"]
+    assert {s for made in held.contents.values() for s, _, _ in made.lines} == {"a:1", "b:1"}
+    assert core.planner.unread == 0  # every mark was answered
+
+
+def test_a_fault_is_told_and_the_module_starts_anew_with_the_list(core):
+    play(core, 0, 2)
+    before = core.held("p")
+    Failing.fails = True
+    core.listed(news("c:1", scope="changes"))
+    (turn,) = play(core, 2 * S, 0.1)
+    assert turn.events[0][0] == "module fault"
+    assert "on purpose" in turn.events[0][1]["error"]
+    assert core.held("p") == before  # the proxy keeps its tables
+    Failing.fails = False
+    play(core, 3 * S, 2)
+    assert {s for made in core.held("p").contents.values() for s, _, _ in made.lines} == {"a:1", "b:1", "c:1"}
+
+
+def test_a_drain_during_a_fault_binds_once_the_module_is_back(core):
+    play(core, 0, 2)
+    Failing.fails = True
+    core.listed(news("b:1", scope="changes", state="draining"))
+    play(core, 2 * S, 0.1)
+    Failing.fails = False
+    play(core, 2 * S + S // 10, 1)
+    assert {s for made in core.held("p").contents.values() for s, _, _ in made.lines} == {"a:1"}
+    assert core.barred == {"b:1"}
+
+
+def test_faults_that_come_again_make_it_wait(core):
+    Failing.fails = True
+    events = [e for t in play(core, 0, 8) for e in t.events]
+    waits = [fields["seconds"] for name, fields in events if name == "module waits"]
+    assert waits
+    assert all(5 <= w <= 10 for w in waits)
+    assert sum(name == "module fault" for name, _ in events) <= 8
+
+
+def test_a_planner_that_stood_still_says_so(core):
+    play(core, 0, 2)
+    turn = core.turn(20 * S)
+    assert ("stood still", {"seconds": 18.1}) in turn.events
+
+
+def test_a_full_channel_is_told_and_lets_the_proxy_go():
+    core = Core(Settings(**(FACTS | {"operations": SETTINGS.operations, "channel_limit": 8.0})), 7, Eager)
+    core.listed(news("a:1"))
+    core.joined("p", "east", 10.0, True)
+    turn = core.turn(0)
+    assert turn.refused == ["p"]
+    assert turn.events[0][0] == "channel full"
+    assert core.channel.lines == 0
+
+
+class Eager:
+    """Writes far more than the channel takes, at once."""
+
+    def __init__(self, settings, seed):
+        self.random = random.Random(seed)
+
+    def decide(self, now, calls, writer):
+        for k in range(20):
+            writer.line(1, f"10.0.0.{k}:80", 1.0)
+        writer.bind("p", 1, 0)
