--- a/swiftchute/drill/checker.py
+++ b/swiftchute/drill/checker.py
@@ -263,7 +263,8 @@
             written[o.gateway].append(o.at)
         by: dict[str, list[Receipt]] = defaultdict(list)
         for r in sorted(self.e.receipts, key=lambda r: r.at):
-            by[r.server].append(r)
+            if r.end == "came":
+                by[r.server].append(r)
         starts = 0
         for server, rows in sorted(by.items()):
             for began in sorted({t.started for t in self.told[server] if t.started}):
--- a/swiftchute/xds/shell.py
+++ b/swiftchute/xds/shell.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import itertools
+import weakref
 from collections.abc import Callable
 from typing import Any
 
@@ -59,6 +60,27 @@
     return bytes(await stream._stream.recv_data(size))
 
 
+class Breakable(Server):
+    """A server whose connections can be broken at once: grpclib's own close leaves them open."""
+
+    def __init__(self, *arguments: Any, **named: Any) -> None:
+        """As its parent."""
+        super().__init__(*arguments, **named)
+        self.made: weakref.WeakSet = weakref.WeakSet()
+
+    def _protocol_factory(self) -> Any:
+        protocol = super()._protocol_factory()
+        protocol.connection = None
+        self.made.add(protocol)
+        return protocol
+
+    def break_all(self) -> None:
+        """Break what is open, as a process's death breaks it."""
+        for protocol in self.made:
+            if protocol.connection is not None and not protocol.connection.is_closing():
+                protocol.connection._transport.abort()
+
+
 class Shell:
     """Serves ADS in both forms and LRS for one front; `kick` asks the planner's loop for a turn."""
 
@@ -84,7 +106,7 @@
         self.queues: dict[int, asyncio.Queue[bytes | tuple[str, str]]] = {}
         self.deltas: dict[int, bool] = {}
         self.operations = frozenset(op.name for op in settings.operations)
-        self.server: Server | None = None
+        self.server: Breakable | None = None
         self.bytes = self.messages = 0
         self.waiting = 0  # streams that have not named their node yet
 
@@ -100,7 +122,7 @@
     async def start(self) -> tuple[str, int]:
         """Listen; returns the address."""
         config = Configuration(http2_connection_window_size=2**20, http2_stream_window_size=2**18)
-        self.server = Server([self], codec=Raw(), config=config)
+        self.server = Breakable([self], codec=Raw(), config=config)
         host, port = self.plumbing["listen"]
         await self.server.start(host, port, backlog=1024)
         return self.server._server.sockets[0].getsockname()[:2]
@@ -111,6 +133,7 @@
             self.server.close()
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(self.server.wait_closed(), 2)
+            self.server.break_all()  # a client would open its next stream on a connection nobody serves
 
     async def _sotw(self, stream: Stream) -> None:
         await self._serve(stream, False)
