--- a/swiftchute/xds/resources.py
+++ b/swiftchute/xds/resources.py
@@ -15,7 +15,7 @@
 a locality a zone, with a collection of lines.
 """
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from functools import lru_cache
 
@@ -84,7 +84,23 @@
     level: float = 1.0
 
 
-Wanted = Mapping[str, Mapping[str, Resource]]
+class Wanted(dict[str, dict[str, Resource]]):
+    """All that a proxy should have, by type URL and name; shared by all proxies with the same holding."""
+
+    def __init__(self) -> None:
+        """Empty of every type."""
+        super().__init__({kind: {} for kind in names.ORDER})
+        self.globs: dict[str, dict[str, Resource]] = {}
+
+    def lines(self, name: str) -> dict[str, Resource]:
+        """The lines of a collection, or the one line of this name."""
+        if name not in self.globs:
+            held = self[names.LEDS]
+            inner = (
+                {n: r for n, r in held.items() if n.startswith(name[:-1])} if name.endswith("/*") else None
+            )
+            self.globs[name] = {n: held[n] for n in (name,) if n in held} if inner is None else inner
+        return self.globs[name]
 
 
 def _resource(
@@ -263,13 +279,13 @@
         The same object for the same holding, so that a push to a group is worked out once.
         """
         if not holding.bound:
-            made: dict[str, dict[str, Resource]] = {kind: {} for kind in names.ORDER}
+            made = Wanted()
             made[names.EDS][names.WITHDRAWN] = withdrawn(frozenset(shut))
             return made
         kept = self.built.get((holding.bound, lines))
         if kept is not None and kept[0] is holding:
             return kept[1]
-        made = {kind: {} for kind in names.ORDER}
+        made = Wanted()
         made[names.EDS][names.WITHDRAWN] = withdrawn(frozenset())
         for operation, table in holding.bound:
             content, place = holding.contents[table], self.places[operation]
@@ -282,6 +298,8 @@
             made[names.RDS][operation] = self._route(
                 self.set.operations[place], held, content.levels[place][1]
             )
+        if kept is not None:  # types in which nothing changed stay the same object, so streams pass them over
+            made.update({kind: old for kind, old in kept[1].items() if old == made[kind]})
         self.built[holding.bound, lines] = (holding, made)
         return made
 
--- a/swiftchute/xds/shell.py
+++ b/swiftchute/xds/shell.py
@@ -179,9 +179,8 @@
         except (StreamTerminatedError, ConnectionError, AssertionError) as why:
             cause = f"the stream broke: {why or type(why).__name__}"
         except asyncio.CancelledError:
-            failed = (
-                writer.result() if writer is not None and writer.done() and not writer.cancelled() else None
-            )
+            ended = writer is not None and writer.done() and not writer.cancelled()
+            failed = writer.result() if ended else None
             cause = failed[1] if failed else "the connection closed"
             if failed:
                 raise GRPCError(Status[failed[0]], failed[1]) from None
@@ -209,8 +208,9 @@
         except TimeoutError:
             end = ("DEADLINE_EXCEEDED", f"nothing read for {self.plumbing['read_within'] / S:g} s")
             self.log.warning("proxy does not read", stream=sid, cause=end[1])
-        except (StreamTerminatedError, ConnectionError):
-            pass
+        except (StreamTerminatedError, ConnectionError, RuntimeError) as why:
+            # uvloop says by RuntimeError that a transport is closed; the reader ends by the same loss
+            end = ("UNAVAILABLE", f"the stream broke: {why}")
         reader.cancel()
         return end
 
--- a/swiftchute/xds/stream.py
+++ b/swiftchute/xds/stream.py
@@ -13,10 +13,12 @@
 documentation (versions, nonces, ACK, NACK, ordering, wildcards, incremental xDS).
 """
 
+import operator
 import random
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Any
 
 from swiftchute.xds import names
 from swiftchute.xds.messages import Reply, Request, Violation
@@ -89,6 +91,8 @@
         self.nonce = ""
         self.out: _Out | None = None
         self.refused: dict[str, _Refusals] = {}
+        self.stamp = 0  # counts requests: what is held and asked for changes with them
+        self.idle: tuple[Any, ...] | None = None  # what there was nothing to send for
         self.apart: set[str] = set()  # were refused together: each goes alone, to find which it was
 
 
@@ -123,7 +127,9 @@
     def request(self, request: Request, now: int) -> list[Event]:
         """Take in a request; raises `Violation` if the stream must end."""
         kind = self.kinds.get(request.kind)
-        if kind is None:
+        if kind is not None:
+            kind.stamp += 1
+        else:
             self.unknown += 1  # a type that is not served is never answered, as the protocol has it
             return []
         if self.since is None:
@@ -233,11 +239,15 @@
         leaving = self._leaving()
         for url in names.ORDER:
             kind = self.kinds[url]
-            if not kind.asked:
+            if not kind.asked or kind.out is not None:
+                continue
+            # what it was worked out from is what it was when nothing was to be sent: it still is not
+            basis = (self.wanted[url], self.barred, kind.stamp, self.kinds[names.CDS].stamp, leaving)
+            if not kind.refused and kind.idle and all(map(operator.is_, basis, kind.idle)):
                 continue
-            chosen = self._chosen(kind, leaving, now)
-            if kind.out is None and (url not in (names.LDS, names.RDS) or self._ready()):
-                reply = self._reply(kind, chosen, leaving, now)
+            if url not in (names.LDS, names.RDS) or self._ready():
+                reply = self._reply(kind, self._chosen(kind, leaving, now), leaving, now)
+                kind.idle = None if reply else basis
                 if reply:
                     replies.append(reply)
         if replies or any(kind.out for kind in self.kinds.values()) or not self._settled():
@@ -253,10 +263,7 @@
         if kind.wild:
             return wanted.keys()
         if kind.url == names.LEDS:
-            globs = tuple(n[:-1] for n in kind.names if n.endswith("/*"))
-            return (
-                [n for n in wanted if n in kind.names or n.startswith(globs)] if globs or kind.names else ()
-            )
+            return [n for given in kind.names for n in self.wanted.lines(given)]
         return kind.names & wanted.keys()
 
     def _chosen(self, kind: _Kind, leaving: bool, now: int) -> dict[str, Resource]:
@@ -359,7 +366,7 @@
         whole = not self.delta and kind.url in names.WHOLE
         if whole and not bound:
             return None  # an empty whole state would tell the client that nothing exists
-        changed = {n for n, r in chosen.items() if n not in kind.held or kind.held[n].version != r.version}
+        changed = {n for n, r in chosen.items() if not self._at(kind, r)}
         owed = kind.owed & chosen.keys() if not kind.owed_all else set(chosen)
         if kind.apart & changed:
             changed, owed = {min(kind.apart & changed)}, set()
@@ -397,23 +404,26 @@
         routes, wanted = self.kinds[names.RDS], self.wanted[names.RDS]
         if not routes.asked:
             return True  # nothing is taken away before the client's routes are known
-        held = {n: r.version for n, r in routes.held.items()}
-        return any(held.get(n) != wanted[n].version for n in self._wanted_names(routes)) or not wanted
+        return not wanted or not all(self._at(routes, wanted[n]) for n in self._wanted_names(routes))
+
+    @staticmethod
+    def _at(kind: _Kind, wanted: Resource) -> bool:
+        held = kind.held.get(wanted.name)
+        return held is wanted or (held is not None and held.version == wanted.version)
 
     def _holds(self, ref: tuple[str, str], at_wanted: bool) -> bool:
         """Whether the client has acknowledged a resource that another names, and all that it names in
         turn."""
+        assert self.wanted is not None
         url, name = ref
-        kind, wanted = self.kinds[url], self.wanted[url] if self.wanted else {}
-        if name.endswith("/*"):
-            lines = [n for n in wanted if n.startswith(name[:-1])]
+        kind, wanted = self.kinds[url], self.wanted[url]
+        if url == names.LEDS:
+            lines = self.wanted.lines(name)
             if not at_wanted:  # one line is enough for a route to be of use
-                return name in kind.names and any(n in kind.held for n in lines)
-            return name in kind.names and all(
-                n in kind.held and kind.held[n].version == wanted[n].version for n in lines
-            )
+                return name in kind.names and not kind.held.keys().isdisjoint(lines)
+            return name in kind.names and all(self._at(kind, line) for line in lines.values())
         held = kind.held.get(name)
-        if held is None or (at_wanted and name in wanted and held.version != wanted[name].version):
+        if held is None or (at_wanted and name in wanted and not self._at(kind, wanted[name])):
             return False
         return all(self._holds(r, at_wanted) for r in (wanted.get(name) or held).refs)
 
@@ -437,4 +447,9 @@
         if not listeners:
             return True
         asked = list(self._wanted_names(self.kinds[names.LDS]))
-        return bool(asked) and all(self._holds((names.LDS, n), True) for n in asked)
+        refs = {(names.LDS, n) for n in asked}
+        while refs:  # level by level, as operations share tables
+            if not all(self._holds(ref, True) for ref in refs):
+                return False
+            refs = {r for url, n in refs if url != names.LEDS for r in self.wanted[url][n].refs}
+        return bool(asked)
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -149,6 +149,7 @@
             runs[rule, "broken"] = Runner(day, 7, str(tmp_path_factory.mktemp(rule)), make, loose=loose).run()
             if rule != "queue":  # its day is that of "lost", shorter
                 runs[rule, "kept"] = Runner(day, 7, str(tmp_path_factory.mktemp(rule)), Planner).run()
+        runs["half-push"] = Runner(DAYS["half-push"], 7, str(tmp_path_factory.mktemp("half"))).run()
         return dict(zip(runs, await asyncio.gather(*runs.values()), strict=True))
 
     found = uvloop.run(main())
@@ -171,6 +172,15 @@
     assert result.replayed > 20
 
 
+def test_a_planner_killed_with_half_a_push_out_keeps_the_rules_after_its_return(played):
+    result, verdicts = played["half-push"]
+    assert not broken(result, verdicts), text(result, verdicts)
+    streams = [s for s in result.evidence.streams if s.on]
+    assert len(streams) >= 2 * len(
+        result.evidence.gateways
+    )  # all came back to it, and once more after the cut
+
+
 def test_the_days_hold_what_their_rules_look_at(played):
     """A verdict of a day that holds nothing to look at would say nothing."""
     assert any(t.state == "draining" for t in played["drain", "kept"][0].evidence.told)
