--- a/benchmarks/push.py
+++ b/benchmarks/push.py
@@ -6,12 +6,9 @@
     python benchmarks/push.py --gateways 52,104 --changes 6
 
 One planner process on loopback with 100 listed workers in one table; gateways are stand-ins' protocol cores
-in client
-processes of their own, each on a stream of its own. A change is a drain of one worker, which goes past the
-debounce;
-between drains the worker is listed again. The channel's pace is set out of the way: this measures the
-program.
-Nothing here is a test: machines are shared, so figures are compared within a run only.
+in client processes of their own, each on a stream of its own. A change is a drain of one worker, which goes
+past the debounce; between drains the worker is listed again. The channel's pace is set out of the way: this
+measures the program. Nothing here is a test: machines are shared, so figures are compared within a run only.
 """
 
 import argparse
--- a/swiftchute/config/reader.py
+++ b/swiftchute/config/reader.py
@@ -1,8 +1,8 @@
 """An HCL file as blocks and attributes that remember their lines.
 
-`read(path)` returns the file's body as a `Block`; a file that is no HCL raises `Problem` with line and
-cause. Only
-plain values are taken (strings, numbers, true, false, null, lists of them): no expressions, no functions.
+`read(path)` returns the file's body as a `Block`; a file that is no HCL raises `Problem` with line and cause.
+Only plain values are taken (strings, numbers, true, false, null, lists of them): no expressions, no
+functions.
 """
 
 from dataclasses import dataclass, field
--- a/swiftchute/config/schema.py
+++ b/swiftchute/config/schema.py
@@ -1,11 +1,9 @@
 """What a planner's HCL file may hold, and the checked result.
 
 `load(path)` returns a `Config`; whatever is wrong comes in one `BadConfig`, every problem with file, line,
-field and
-cause. The tables below name the fields by block: parser of the value, default (`MUST` where there is none),
-and the
-`Settings` field it fills, where it fills one. Nothing here is decided: defaults are of the program's
-plumbing only.
+field and cause. The tables below name the fields by block: parser of the value, default (`MUST` where there
+is none), and the `Settings` field it fills, where it fills one. Nothing here is decided: defaults are of the
+program's plumbing only.
 """
 
 import re
--- a/swiftchute/drill/checker.py
+++ b/swiftchute/drill/checker.py
@@ -1,10 +1,8 @@
 """The five rules, judged from what passed on the sockets: orders, tries, streams, and the workers' receipts.
 
 `judge(evidence)` returns a `Verdict` a rule. It reads nothing of a planner: what proxies held is worked out
-by
-replaying the orders as their sockets received them, what they did from the tries, what took effect from the
-receipts.
-Times are monotonic nanoseconds of one machine; every figure is of stand-ins on one machine.
+by replaying the orders as their sockets received them, what they did from the tries, what took effect from
+the receipts. Times are monotonic nanoseconds of one machine; every figure is of stand-ins on one machine.
 """
 
 from bisect import bisect_right
@@ -308,8 +306,8 @@
         allow.
 
         A message is a push: its responses, one a type, carry one version. Lines that waited cannot be seen
-        from
-        outside; but what a planner writes in a second is at most what may wait and what it sends meanwhile.
+        from outside; but what a planner writes in a second is at most what may wait and what it sends
+        meanwhile.
         """
         limit = self.set.message_limit or 10**9
         verdict = Verdict("a short queue", 0.0, 1.0, "of the limit", "")
--- a/swiftchute/drill/day.py
+++ b/swiftchute/drill/day.py
@@ -2,10 +2,9 @@
 
     evidence, replayed = await Runner(DAYS["bad-day"], seed=7, folder=path).run()
 
-Planners run as processes of their own (`swiftchute serve`), or inside with a module of the caller's.
-Troubles act on
-processes (stop, kill) and on sockets (relays between gateways and planners; workers' listeners), never in a
-planner.
+Planners run as processes of their own (`swiftchute serve`), or inside with a module of the caller's. Troubles
+act on processes (stop, kill) and on sockets (relays between gateways and planners; workers' listeners), never
+in a planner.
 """
 
 import asyncio
@@ -186,8 +185,7 @@
         loose: dict[str, Any] | None = None,
     ) -> None:
         """`make` replaces the module (planners then run inside); `loose` replaces figures in the planners'
-        settings
-        only, so that a planner that does not keep the day's limits can be judged by them."""
+        settings only, so that a planner that does not keep the day's limits can be judged by them."""
         self.day, self.random, self.folder, self.make, self.say = day, random.Random(seed), folder, make, say
         self.loose = loose or {}
         self.seed = seed
--- a/swiftchute/planner/channel.py
+++ b/swiftchute/planner/channel.py
@@ -49,8 +49,7 @@
         """Queue a round's messages; returns the proxies whose message finds no room.
 
         What finds no room is not queued: the rule on the queue is kept here whatever was ordered, and the
-        program
-        lets those proxies' streams go, so that what they hold is known again when they rejoin.
+        program lets those proxies' streams go, so that what they hold is known again when they rejoin.
         """
         refused = []
         if not self.waiting:
--- a/swiftchute/planner/core.py
+++ b/swiftchute/planner/core.py
@@ -8,12 +8,9 @@
     turn.refused, turn.events
 
 It keeps the clock's rounds: the module is called once a turn with all that came in. Every decision about
-servers,
-weights, levels, times and who is bound where is the module's. Fronts (xDS, others to come) hold no tables of
-their
-own: they serve `held(proxy)` and `content(table)`. What is decided here is plumbing: what of the module's
-orders has
-left the channel, and what becomes of a module that fails.
+servers, weights, levels, times and who is bound where is the module's. Fronts (xDS, others to come) hold no
+tables of their own: they serve `held(proxy)` and `content(table)`. What is decided here is plumbing: what of
+the module's orders has left the channel, and what becomes of a module that fails.
 """
 
 import random
--- a/swiftchute/planner/orders.py
+++ b/swiftchute/planner/orders.py
@@ -1,8 +1,8 @@
 """The writer that a planner's module writes into: tables, bindings and withdrawals, and who a round concerns.
 
 `Orders` implements `swiftchute.interface.Writer`. The program calls `begin()`, lets the module decide, and
-takes the
-`Round` from `end()`. The state here is what every front serves from; no front keeps tables of its own.
+takes the `Round` from `end()`. The state here is what every front serves from; no front keeps tables of its
+own.
 """
 
 from dataclasses import dataclass, field
--- a/swiftchute/standin/client.py
+++ b/swiftchute/standin/client.py
@@ -49,8 +49,7 @@
 @dataclass
 class Table:
     """What one operation's invocations follow: weights by server, the share let in, further tries, and
-    whether
-    they need proof that the try before never ran."""
+    whether they need proof that the try before never ran."""
 
     cluster: str
     lines: dict[str, int]
--- a/swiftchute/standin/gateway.py
+++ b/swiftchute/standin/gateway.py
@@ -1,8 +1,7 @@
 """A stand-in gateway: dials planners, follows its tables, calls workers, reports what it met.
 
 It records what passes on its sockets: each response as it was received (`Order`), each try as it was sent
-(`Try`),
-and when its streams opened and broke. The checker of a drill reads these and nothing of a planner's.
+(`Try`), and when its streams opened and broke. The checker of a drill reads these and nothing of a planner's.
 """
 
 import asyncio
--- a/swiftchute/standin/worker.py
+++ b/swiftchute/standin/worker.py
@@ -1,10 +1,8 @@
 """A stand-in price worker: a gRPC server on loopback that does pretended work and writes receipts.
 
 It has cores, a waiting room, a cold start that grows to full, and it falls over if more work is brought than
-it may
-get while cold. It can die, hang, go silent, be slow, fail quickly and drain. Any method ending in an
-operation's name
-is answered; the request's bytes are `id|try|gateway`.
+it may get while cold. It can die, hang, go silent, be slow, fail quickly and drain. Any method ending in an
+operation's name is answered; the request's bytes are `id|try|gateway`.
 """
 
 import asyncio
--- a/swiftchute/xds/front.py
+++ b/swiftchute/xds/front.py
@@ -8,8 +8,7 @@
     out.replies, out.cuts, out.events
 
 A stream that opens joins its node, one that ends lets it leave; a node is on one stream at a time. What a
-node should
-hold is the core's; how far its stream is with it is `stream.Stream`'s.
+node should hold is the core's; how far its stream is with it is `stream.Stream`'s.
 """
 
 import random
--- a/swiftchute/xds/loads.py
+++ b/swiftchute/xds/loads.py
@@ -4,11 +4,9 @@
     data = answer(period)
 
 Source: envoy/config/endpoint/v3/load_report.proto. A client reports by cluster and locality. Tables are laid
-out so
-that a cluster is one operation and a locality one server, so both sums come from any client; one that
-reports by
-endpoint is read by endpoint. The metric `swiftchute.took_ms` carries the time of good answers, if a client
-tells it.
+out so that a cluster is one operation and a locality one server, so both sums come from any client; one that
+reports by endpoint is read by endpoint. The metric `swiftchute.took_ms` carries the time of good answers, if
+a client tells it.
 """
 
 from envoy.config.core.v3.address_pb2 import Address
--- a/swiftchute/xds/resources.py
+++ b/swiftchute/xds/resources.py
@@ -1,18 +1,13 @@
 """Tables into xDS resources: no I/O, no clock.
 
-`Translator(settings).wanted(tables, bound, withdrawn, lines)` gives all resources that a proxy with these
-bindings
-should hold, as {type URL: {name: Resource}}. Resources are immutable and shared: a table's content is
-encoded once a
+`Translator(settings).wanted(holding, shut, lines)` gives all resources that a proxy with this holding should
+have, as {type URL: {name: Resource}}. Resources are immutable and shared: a table's content is encoded once a
 change, whatever number of proxies hold it (the document's "one push context between them").
 
 A line is a locality of its own (zone, and the server as sub-zone), with the line's weight as the locality's:
-clients
-that pick localities by weight then follow the table exactly, whatever their policy for endpoints within one,
-and load
-reports, which every client makes by locality, tell servers apart. A client that takes lines one by one
-(LEDS) is given
-a locality a zone, with a collection of lines.
+clients that pick localities by weight then follow the table exactly, whatever their policy for endpoints
+within one, and load reports, which every client makes by locality, tell servers apart. A client that takes
+lines one by one (LEDS) is given a locality a zone, with a collection of lines.
 """
 
 from collections.abc import Collection, Iterable
--- a/swiftchute/xds/shell.py
+++ b/swiftchute/xds/shell.py
@@ -1,10 +1,8 @@
 """The gRPC shell of the xDS front: bytes between sockets and a planner's core. It decides nothing.
 
 grpclib speaks HTTP/2 by asyncio protocol classes. A stream has one writer, which waits on its client's
-flow-control
-window alone; what is queued for it is bounded by the state machine (one reply a type), and a client that
-does not read
-for `read_within` is cut off.
+flow-control window alone; what is queued for it is bounded by the state machine (one reply a type), and a
+client that does not read for `read_within` is cut off.
 """
 
 import asyncio
@@ -60,15 +58,27 @@
     return bytes(await stream._stream.recv_data(size))
 
 
+class _Closed(asyncio.Protocol):
+    """What a connection past the bound gets."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport.abort()
+
+
 class Breakable(Server):
-    """A server whose connections can be broken at once: grpclib's own close leaves them open."""
+    """A server with a bound of connections, which can be broken at once: grpclib's own close leaves
+    them open."""
 
-    def __init__(self, *arguments: Any, **named: Any) -> None:
-        """As its parent."""
+    def __init__(self, *arguments: Any, most: int = 10_000, **named: Any) -> None:
+        """As its parent; past `most` connections a new one is closed unread."""
         super().__init__(*arguments, **named)
         self.made: weakref.WeakSet = weakref.WeakSet()
+        self.most, self.turned_away = most, 0
 
-    def _protocol_factory(self) -> Any:
+    def _protocol_factory(self) -> asyncio.BaseProtocol:
+        if sum(1 for p in self.made if p.connection is None or not p.connection.is_closing()) >= self.most:
+            self.turned_away += 1
+            return _Closed()
         protocol = super()._protocol_factory()
         protocol.connection = None
         self.made.add(protocol)
@@ -94,14 +104,8 @@
         log: Any,
     ) -> None:
         """`plumbing` is the `xds` block of the settings."""
-        self.front, self.set, self.plumbing, self.kick, self.clock, self.log = (
-            front,
-            settings,
-            plumbing,
-            kick,
-            clock,
-            log,
-        )
+        self.front, self.set, self.plumbing = front, settings, plumbing
+        self.kick, self.clock, self.log = kick, clock, log
         self.sids = itertools.count(1)
         self.queues: dict[int, asyncio.Queue[bytes | tuple[str, str]]] = {}
         self.deltas: dict[int, bool] = {}
@@ -109,6 +113,7 @@
         self.server: Breakable | None = None
         self.bytes = self.messages = 0
         self.waiting = 0  # streams that have not named their node yet
+        self.reporting: dict[str, int] = {}  # by node, the number of its newest report stream
 
     def __mapping__(self) -> dict[str, Handler]:
         """The handlers that grpclib serves."""
@@ -122,7 +127,7 @@
     async def start(self) -> tuple[str, int]:
         """Listen; returns the address."""
         config = Configuration(http2_connection_window_size=2**20, http2_stream_window_size=2**18)
-        self.server = Breakable([self], codec=Raw(), config=config)
+        self.server = Breakable([self], codec=Raw(), config=config, most=2 * self.plumbing["streams"])
         host, port = self.plumbing["listen"]
         await self.server.start(host, port, backlog=1024)
         return self.server._server.sockets[0].getsockname()[:2]
@@ -230,30 +235,36 @@
                 self._put(sid, queue, (status, text))
 
     def _put(self, sid: int, queue: Any, item: Any) -> None:
-        if (
-            queue.full()
-        ):  # past its bound the stream is cut off with a reason, the newest replies are not kept
+        if queue.full():  # past its bound the stream is cut off with a reason
             while not queue.empty():
                 queue.get_nowait()
             item = ("RESOURCE_EXHAUSTED", f"{QUEUE} replies unread")
         queue.put_nowait(item)
 
     async def _loads(self, stream: Stream) -> None:
+        peer, mine = None, 0
         try:
             data = await self._first(stream)
             if data is None:
                 return
             report, node = loads.decode(data, self.operations)
-            peer = messages.peer(node, self.set.zones)
+            peer, mine = messages.peer(node, self.set.zones), next(self.sids)
+            if peer.node not in self.reporting and len(self.reporting) >= self.plumbing["streams"]:
+                raise Violation("RESOURCE_EXHAUSTED", f"{len(self.reporting)} report streams are open")
+            self.reporting[peer.node] = mine
             await stream.send_message(loads.answer(self.set.report_period))
-            while True:
+            while self.reporting.get(peer.node) == mine:  # a node reports on one stream, the newest
                 self.front.report(peer.node, report, self.clock())
                 self.kick()
                 data = await receive(stream, self.plumbing["max_message"])
                 if data is None:
                     return
                 report, _ = loads.decode(data, self.operations)
+            raise Violation("ABORTED", f"node {peer.node} opened another report stream")
         except Violation as why:
             raise GRPCError(Status[why.status], why.text) from None
         except (StreamTerminatedError, ConnectionError, AssertionError):
             return
+        finally:
+            if peer is not None and self.reporting.get(peer.node) == mine:
+                del self.reporting[peer.node]
--- a/swiftchute/xds/stream.py
+++ b/swiftchute/xds/stream.py
@@ -5,9 +5,8 @@
     events = stream.request(request, now)
     replies, events = stream.progress(now)
 
-Call `progress` after each `request` and `want`, and at `stream.wake`. A type has one reply under way at
-most; what
-changes meanwhile waits in `wanted` and goes in the next. Times are nanoseconds and come in.
+Call `progress` after each `request` and `want`, and at `stream.wake`. A type has one reply under way at most;
+what changes meanwhile waits in `wanted` and goes in the next. Times are nanoseconds and come in.
 
 What it guards against is said where it stands; the source is the page "xDS REST and gRPC protocol" of the xDS
 documentation (versions, nonces, ACK, NACK, ordering, wildcards, incremental xDS).
@@ -288,8 +287,7 @@
         """What is held; of lines, not those of barred servers, unless a table would have no other.
 
         A client that refuses its new tables goes by its old ones, perhaps of another planner: a drain must
-        reach
-        it there, and a line taken away is the one order that says nothing a client could refuse.
+        reach it there, and a line taken away is the one order that says nothing a client could refuse.
         """
         if kind.url != names.LEDS or not self.barred:
             return kind.held
@@ -347,10 +345,8 @@
         """What the client holds less the barred servers.
 
         All that stays in it was accepted before, so it is the form least likely to be refused, and what
-        leaves
-        must leave: a drain that a NACK holds up is a rule about to break. None if there is nothing to take
-        away,
-        if nothing would be left, or if this was refused too.
+        leaves must leave: a drain that a NACK holds up is a rule about to break. None if there is nothing to
+        take away, if nothing would be left, or if this was refused too.
         """
         held = kind.held.get(name)
         if held is None or not held.lines:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -312,3 +312,32 @@
         yield row
         if row[0] > end:
             return
+
+
+def test_past_their_bounds_connections_and_streams_are_turned_away(tmp_path):
+    place = Place(tmp_path, [('max_message = "4MiB"', "streams = 2")])
+
+    async def main():
+        address = await place.start()
+        gateways = [Gateway(Client(f"g{k}", "north", 5.0), [address], k, redial=(60, 61)) for k in range(2)]
+        for gateway in gateways:
+            gateway.start()
+        await until(lambda: all(g.client.tables for g in gateways))
+        status, text = await refused(address, Client("third", "north", 1.0).hello(True)[:1], "Delta")
+        assert (status, text) == (Status.RESOURCE_EXHAUSTED, "2 streams are open, the most allowed")
+        idle = [await asyncio.open_connection(*address) for _ in range(4)]
+        for reader, _ in idle[2:]:  # with the two gateways' connections, these are past twice the streams
+            try:
+                said = await asyncio.wait_for(reader.read(100), 5)
+            except ConnectionResetError:
+                said = b""
+            assert said == b""  # closed without a word
+        assert place.service.shell.server.turned_away == 2
+        assert all(g.joined for g in gateways)
+        for _, writer in idle:
+            writer.close()
+        for gateway in gateways:
+            await gateway.stop()
+        await place.stop()
+
+    run(main())
