--- a/swiftchute/drill/day.py
+++ b/swiftchute/drill/day.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import itertools
 import json
 import os
 import random
@@ -28,6 +29,7 @@
 from swiftchute.standin.worker import Facts, Worker
 
 S = 1_000_000_000
+_RUNS = itertools.count()
 ZONES = ("north", "south", "west")
 # operation: work in seconds, share of invocations, objective, time-out, value, repeats
 OPERATIONS = {
@@ -65,6 +67,7 @@
     pace: float = 1500.0
     limit: float = 3000.0
     messages: int = 30
+    once: float = 0.06  # share of invocations that may take effect once only
 
 
 def _t(at: float, what: str, *args: Any) -> Trouble:
@@ -106,8 +109,9 @@
                   workers=9, gateways=6, planners=1, grace=1.5),
     "cold": Day("half of a zone's workers come back cold", 12.0, (_t(2, "die", 0.34), _t(5, "come_back")),
                 workers=9, gateways=6, planners=1, rate=14.0, warm_within=10.0),
-    "errors": Day("a third of the workers fail quickly", 9.0, (_t(2, "fail", 0.34),),
-                  workers=9, gateways=6, planners=1, rate=8.0),
+    "errors": Day("half of the workers fail quickly, after what was asked took effect", 9.0, (_t(2, "fail", 0.5),),
+                  workers=9, gateways=6, planners=1, rate=8.0,
+        once=0.5),
 }  # fmt: skip
 
 
@@ -188,7 +192,7 @@
         settings only, so that a planner that does not keep the day's limits can be judged by them."""
         self.day, self.random, self.folder, self.make, self.say = day, random.Random(seed), folder, make, say
         self.loose = loose or {}
-        self.seed = seed
+        self.seed, self.host = seed, _own_host()
         self.workers: list[Worker] = []
         self.gateways: list[Gateway] = []
         self.planners: list[Planner] = []
@@ -289,10 +293,16 @@
                 ),
                 _block("reports", period="500ms", lines=300),
                 _block('list "file"', path=self.list, every="100ms"),
-                _block("xds", listen=f"127.0.0.1:{port}", ack_within="10s", read_within="8s"),
+                _block("xds", listen=f"{self.host}:{port}", ack_within="10s", read_within="8s"),
             ]
         )
 
+    def _share(self, name: str, share: float) -> float:
+        """An operation's share of invocations, with the side-effecting one at the day's."""
+        once = self.day.once
+        usual = OPERATIONS["bid-record"][1]
+        return once if name == "bid-record" else share * (1 - once) / (1 - usual)
+
     async def _fleet(self) -> None:
         day = self.day
         facts = Facts({name: row[0] for name, row in OPERATIONS.items()}, warm_within=day.warm_within)
@@ -302,16 +312,16 @@
         ]
         self.starts = {}
         for w in self.workers:
-            await w.start()
+            await w.start(host=self.host)
             self.states[w.address] = ("ready", 0)
         self.publish()
         self.addresses = {}
         for number in range(day.planners):
-            port = _free_port()
+            port = _free_port(self.host)
             path = os.path.join(self.folder, f"planner-{number}.hcl")
             with open(path, "w", encoding="utf-8") as out:
                 out.write(self.settings(number, port, **self.loose))
-            self.addresses[number] = ("127.0.0.1", port)
+            self.addresses[number] = (self.host, port)
             log = os.path.join(self.folder, f"planner-{number}.log")
             self.planners.append(Planner(number, path, log, self.make))
             await self.planners[-1].start()
@@ -321,7 +331,7 @@
             dial = []
             for number, address in self.addresses.items():
                 relay = self.relays[k, number] = Relay(address)
-                at = await relay.start()
+                at = await relay.start(self.host)
                 self.dialled[f"{at[0]}:{at[1]}"] = str(number)
                 dial.append(at)
             share = 0.5 + self.random.random()
@@ -344,7 +354,9 @@
             for g in self.gateways:
                 for name, row in OPERATIONS.items():
                     self.tasks.append(
-                        asyncio.ensure_future(g.load(name, g.client.rate * row[1], self.day.seconds))
+                        asyncio.ensure_future(
+                            g.load(name, g.client.rate * self._share(name, row[1]), self.day.seconds)
+                        )
                     )
             self.say(
                 f"{len(self.workers)} workers, {len(self.gateways)} gateways, {len(self.planners)} planners"
@@ -547,9 +559,20 @@
     )
 
 
-def _free_port() -> int:
+def _own_host() -> str:
+    """A loopback address of this run's own.
+
+    Runs at the same time would meet at one address: a worker that is down for a moment loses its port to
+    another
+    run, whose gateways' invocations then count here.
+    """
+    number = os.getpid() * 16 + next(_RUNS) % 16
+    return f"127.{1 + (number >> 16) % 250}.{(number >> 8) % 256}.{1 + number % 250}"
+
+
+def _free_port(host: str) -> int:
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((host, 0))
         return probe.getsockname()[1]
 
 
--- a/swiftchute/standin/relay.py
+++ b/swiftchute/standin/relay.py
@@ -81,9 +81,9 @@
         self.pairs: set[_Side] = set()
         self.server: asyncio.Server | None = None
 
-    async def start(self) -> tuple[str, int]:
+    async def start(self, host: str = "127.0.0.1") -> tuple[str, int]:
         """Listen; returns the address to dial."""
-        self.server = await asyncio.get_running_loop().create_server(lambda: _Side(self), "127.0.0.1", 0)
+        self.server = await asyncio.get_running_loop().create_server(lambda: _Side(self), host, 0)
         return self.server.sockets[0].getsockname()[:2]
 
     def cut(self) -> None:
--- a/swiftchute/standin/worker.py
+++ b/swiftchute/standin/worker.py
@@ -77,11 +77,12 @@
             for op in self.facts.work
         }
 
-    async def start(self, cold: bool = False) -> None:
+    async def start(self, cold: bool = False, host: str = "127.0.0.1") -> None:
         """Listen, at the same address as before if it ran before."""
-        port = int(self.address.rpartition(":")[2] or 0)
+        before, _, port = self.address.rpartition(":")
+        host = before or host
         self.server = Breakable([self], codec=Raw())
-        await self.server.start("127.0.0.1", port, reuse_address=True)
+        await self.server.start(host, int(port or 0), reuse_address=True)
         self.address = "{}:{}".format(*self.server._server.sockets[0].getsockname()[:2])
         self.cores = asyncio.Semaphore(self.facts.cores)
         self.started = time.monotonic() if cold else None
