--- a/swiftchute/drill/day.py
+++ b/swiftchute/drill/day.py
@@ -109,7 +109,7 @@
                   workers=9, gateways=6, planners=1, grace=1.5),
     "cold": Day("half of a zone's workers come back cold", 12.0, (_t(2, "die", 0.34), _t(5, "come_back")),
                 workers=9, gateways=6, planners=1, rate=14.0, warm_within=10.0),
-    "errors": Day("half of the workers fail quickly, after what was asked took effect", 9.0, (_t(2, "fail", 0.5),),
+    "errors": Day("half of the workers fail what they ran", 9.0, (_t(2, "fail", 0.5),),
                   workers=9, gateways=6, planners=1, rate=8.0,
         once=0.5),
 }  # fmt: skip
