A guard between tables and fronts: refuses what breaks a rule, mends it by the least, tells why

The users' first wish: a table that empties a pool or sends all to cold servers does more damage than an outage.

guard/ judges all tables of a planner at once, before any front sees them: bad weights, barred servers, own zone, empty pools, no warm server, a line's part, and the budget of cold servers over all tables; each finding names rule, table, servers, figure and limit, is mended by the least, told once and counted, and raises an alarm past the drain grace. The worst list that could be true while the list is late is worked out in one pass and counted.

Generated tables agree with an oracle written apart (1,500 in the tests). On sockets, planners that empty tables, forget drains or send all to cold servers keep every rule under the guard and break theirs without it (stand-ins on one machine).

--- a/swiftchute/config/schema.py
+++ b/swiftchute/config/schema.py
@@ -13,6 +13,7 @@
 from urllib.parse import urlsplit
 
 from swiftchute.config.reader import Block, Problem, read
+from swiftchute.guard.guard import RULES
 from swiftchute.interface import Operation, Settings
 
 MUST = object()
@@ -106,6 +107,13 @@
     return tuple(value)
 
 
+def rules(value: Any) -> tuple[str, ...]:
+    """A list of the guard's rules."""
+    if not isinstance(value, list) or not set(value) <= set(RULES):
+        raise ValueError(f"{value!r} is not a list of rules: {', '.join(RULES)}")
+    return tuple(value)
+
+
 def path(value: Any) -> str:
     """A path, taken from the folder the program runs in."""
     if not isinstance(value, str) or not value:
@@ -182,6 +190,12 @@
         "read_within": (span(_S), 15 * _S, None),
         "proxy_rate": (number(0.001), 1.0, None),
     },
+    "guard": {
+        "mode": (one_of("enforce", "warn", "off"), "enforce", None),
+        "warn": (rules, (), None),
+        "line_part": (number(0.01, 1), 1.0, None),
+        "late_part": (number(0, 1), 0.2, None),
+    },
     "log": {"level": (one_of("debug", "info", "warning", "error"), "info", None)},
 }
 _OPERATION: dict[str, tuple[Callable[[Any], Any], Any, str | None]] = {
@@ -216,6 +230,7 @@
     list: dict[str, Any]
     weights: str
     xds: dict[str, Any]
+    guard: dict[str, Any]
     log_level: str
 
 
@@ -352,5 +367,6 @@
             asked,
             asked["weights"],
             values["xds"],
+            values["guard"],
             values["log"]["level"],
         )
--- a/swiftchute/drill/day.py
+++ b/swiftchute/drill/day.py
@@ -187,9 +187,12 @@
         make: Callable[..., Any] | None = None,
         say: Callable[[str], None] = lambda text: None,
         loose: dict[str, Any] | None = None,
+        guard: str = "enforce",
     ) -> None:
         """`make` replaces the module (planners then run inside); `loose` replaces figures in the planners'
-        settings only, so that a planner that does not keep the day's limits can be judged by them."""
+        settings only, so that a planner that does not keep the day's limits can be judged by them; `guard` is
+        the mode of their guard."""
+        self.guard = guard
         self.day, self.random, self.folder, self.make, self.say = day, random.Random(seed), folder, make, say
         self.loose = loose or {}
         self.seed, self.host = seed, _own_host()
@@ -293,6 +296,7 @@
                 ),
                 _block("reports", period="500ms", lines=300),
                 _block('list "file"', path=self.list, every="100ms"),
+                _block("guard", mode=self.guard),
                 _block("xds", listen=f"{self.host}:{port}", ack_within="10s", read_within="8s"),
             ]
         )
--- /dev/null
+++ b/swiftchute/guard/guard.py
@@ -0,0 +1,339 @@
+"""The guard: judges the tables of one planner before any front sees them, and mends what it refuses.
+
+    guard = Guard(settings, Rules(...))
+    verdict = guard.judge(proposed, before, facts, full, now)
+    verdict.tables[number]      # the lines and level that may go out
+    verdict.refusals            # rule, table, servers, figure, limit, and what was done
+
+It is asked with all tables at once, since cold servers are loaded by all of them together. A table that
+breaks no rule
+goes out as it was proposed, to the letter. One that does is mended by the least that keeps the rules, in
+this order; what
+stands later gives way to what stands earlier:
+
+1. `bad weight`: a weight that is not finite or is negative; the line keeps what it had, or goes.
+2. `barred server`: a server that drains or is gone; the line goes. A drain is never held back.
+3. `own zone`: a line outside the zone of an operation that may not leave it; it goes.
+4. `empty pool`: no line is left; the lines before come back, less what 2 and 3 take, else every open warm
+server.
+5. `no warm server`: only cold lines while a warm server may be used; the warm ones join.
+6. `one line`: a line of more than a stated part beside others; it is cut to that part.
+7. `cold budget`: a cold server gets more, from all tables together, than it may; its lines are cut in all of
+them.
+
+Where no table is safe the least harmful goes out under a named exception: `no open server` (what there is
+stays), `only
+cold servers` (lines stay, the level falls to what they may be sent).
+"""
+
+import math
+from collections import defaultdict
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from swiftchute.guard.late import worst
+from swiftchute.interface import Settings
+
+RULES = ("bad weight", "barred server", "own zone", "empty pool", "no warm server", "one line", "cold budget")
+EXCEPTIONS = ("no open server", "only cold servers")
+LATE = "late list"  # counted and told, never mended: see `Guard._late`
+SLACK = 1.001  # figures are floats: what is over its limit by less is not over it
+
+
+@dataclass(frozen=True)
+class Rules:
+    """Settings of the guard: rules that only warn, the part a line may have, how far the list may be
+    wrong."""
+
+    warn: frozenset[str] = frozenset()
+    line_part: float = 1.0
+    late_part: float = 0.2
+
+
+@dataclass(frozen=True)
+class Fact:
+    """What the list says of a server: "ready", "draining" or "gone"; `started` 0 if long ago; its
+    listed weight."""
+
+    zone: str
+    state: str
+    started: int
+    weight: float
+
+
+@dataclass(frozen=True)
+class Proposal:
+    """A table that is to go out, who is on it, and what they were sent of late (None: not known)."""
+
+    lines: Mapping[str, float]
+    level: float
+    zones: frozenset[str]  # of the proxies on it; none: nobody is
+    local: bool = False  # holds an operation that may not leave its zone
+    demand: float | None = None  # invocations a second
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """One finding: the rule, where, the figure and its limit, and what was done ("mended", "warned",
+    "sent")."""
+
+    rule: str
+    table: int
+    servers: tuple[str, ...]
+    figure: float
+    limit: float
+    done: str
+
+
+@dataclass
+class Verdict:
+    """What may go out, by table: (lines, level); and all findings."""
+
+    tables: dict[int, tuple[dict[str, float], float]] = field(default_factory=dict)
+    refusals: list[Refusal] = field(default_factory=list)
+
+
+class Guard:
+    """Judges proposals by the settings' rules."""
+
+    def __init__(self, settings: Settings, rules: Rules) -> None:
+        """`settings` hold the figures of the rules on cold servers."""
+        self.set, self.rules = settings, rules
+
+    def capacity(self, fact: Fact, now: int) -> float:
+        """The part of its full work that a server can do at least: it grows evenly, on the longest way."""
+        if not fact.started:
+            return 1.0
+        least, age = self.set.start_capacity, (now - fact.started) / self.set.warm_within
+        return min(least + (1 - least) * max(age, 0.0), 1.0)
+
+    def judge(
+        self,
+        proposed: Mapping[int, Proposal],
+        before: Mapping[int, Mapping[str, float]],
+        facts: Mapping[str, Fact],
+        full: Mapping[str, float],
+        now: int,
+    ) -> Verdict:
+        """Judge all tables.
+
+        `before`: the lines that went out last; `full`: by zone, good answers a second that a warm server of
+        weight 1
+        was seen to give; a zone that is not in it is not known. Pure: the same arguments give the same
+        verdict.
+        """
+        self.facts, self.full, self.now = facts, full, now
+        self.verdict, self.told = Verdict(), set()
+        for number, table in sorted(proposed.items()):
+            lines = self._lines(number, table, before.get(number, {}))
+            self.verdict.tables[number] = (lines, table.level)
+        self._cold(proposed)
+        for number, table in sorted(proposed.items()):
+            self._late(number, table, before.get(number, {}))
+        return self.verdict
+
+    def _find(self, rule: str, table: int, servers: list[str], figure: float, limit: float) -> bool:
+        """Note a finding; whether it is to be mended."""
+        mend = rule not in self.rules.warn
+        done = ("mended" if rule in RULES else "sent") if mend else "warned"
+        self.verdict.refusals.append(Refusal(rule, table, tuple(sorted(servers)), figure, limit, done))
+        return mend
+
+    def _open(self, server: str) -> bool:
+        return server in self.facts and self.facts[server].state == "ready"
+
+    def _warm(self, server: str) -> bool:
+        return self._open(server) and self.capacity(self.facts[server], self.now) >= 1
+
+    # -- one table
+
+    def _lines(self, number: int, table: Proposal, before: Mapping[str, float]) -> dict[str, float]:
+        lines = dict(table.lines)
+        bad = [n for n, w in lines.items() if not (math.isfinite(w) and w > 0)]
+        if bad and self._find("bad weight", number, bad, len(bad), 0):
+            for n in bad:
+                lines.pop(n)
+                if before.get(n, 0) > 0:
+                    lines[n] = before[n]
+        barred = [n for n in lines if not self._open(n) and self._binds(n)]
+        taken = dict(lines)
+        if barred and self._find("barred server", number, barred, len(barred), 0):
+            taken = {n: w for n, w in taken.items() if n not in barred}
+        if table.local:
+            abroad = [n for n in taken if n in self.facts and self.facts[n].zone not in table.zones]
+            if abroad and table.zones and self._find("own zone", number, abroad, len(abroad), 0):
+                taken = {n: w for n, w in taken.items() if n not in abroad}
+        if not table.zones:
+            return taken  # nobody is on it: it harms no one yet
+        taken = self._filled(number, table, taken, lines, before)
+        return self._parted(number, taken)
+
+    def _binds(self, server: str) -> bool:
+        """Whether a server that is not ready must be left: one merely dropped may stay where gone
+        does not bind."""
+        state = self.facts[server].state if server in self.facts else "gone"
+        return state == "draining" or self.set.gone_binds
+
+    def _usable(self, table: Proposal) -> list[str]:
+        """The open servers that a table may use: those of its proxies' zones, or others if these have
+        none warm."""
+        own = [n for n, f in self.facts.items() if self._open(n) and f.zone in table.zones]
+        if table.local or any(self._warm(n) for n in own):
+            return own
+        return [n for n in self.facts if self._open(n)]
+
+    def _filled(self, number: int, table: Proposal, taken: dict[str, float], lines: dict[str, float],
+                before: Mapping[str, float]) -> dict[str, float]:  # fmt: skip
+        usable = self._usable(table)
+        if not taken:
+            if not usable:
+                # no table is safe: what there is stays, as an empty one would be no better
+                self._find("no open server", number, [], 0, 1)
+                return lines
+            if not self._find("empty pool", number, list(lines), 0, 1):
+                return taken
+            taken = {n: w for n, w in before.items() if n in usable}
+            taken = taken or {n: self.facts[n].weight for n in usable}
+        warm = [n for n in usable if self._warm(n)]
+        if not warm or any(self._warm(n) for n in taken):
+            return taken
+        if self._find("no warm server", number, list(taken), 0, 1):
+            taken = taken | {n: self.facts[n].weight for n in warm}
+        return taken
+
+    def _parted(self, number: int, lines: dict[str, float]) -> dict[str, float]:
+        part, total = self.rules.line_part, sum(lines.values())
+        over = [n for n, w in lines.items() if len(lines) > 1 / part and w > part * total * SLACK]
+        if over and self._find("one line", number, over, lines[over[0]] / total, part):
+            for n in over:
+                rest = total - lines[n]
+                lines[n] = rest * part / (1 - part)
+        return lines
+
+    # -- all tables together
+
+    def budget(self, server: str) -> float | None:
+        """Invocations a second that a server may be sent now; None if its zone's full work is not known."""
+        fact = self.facts[server]
+        full = self.full.get(fact.zone)
+        return None if full is None else (
+            self.set.fall_multiple * self.capacity(fact, self.now) * full * fact.weight)
+
+    def _load(self, proposed: Mapping[int, Proposal], number: int, server: str) -> float:
+        """What a table brings a server a second."""
+        lines, level = self.verdict.tables[number]
+        return (proposed[number].demand or 0.0) * min(level, 1.0) * lines[server] / sum(lines.values())
+
+    def _cold(self, proposed: Mapping[int, Proposal]) -> None:
+        used = [number for number, table in proposed.items() if table.zones]
+        held = {number: self.verdict.tables[number][0] for number in used}
+        cold = sorted({n for lines in held.values() for n in lines if self._open(n) and not self._warm(n)})
+        mixed = [number for number in used if self._has_warm(number)]
+        self._only_cold(proposed, [number for number in used if number not in mixed])
+        cut: dict[str, float] = {}
+        for _ in range(len(cold) + 1):  # what one loses others take up, so that more may have to be cut
+            more = False
+            for n in cold:
+                on = [number for number in used if n in self.verdict.tables[number][0]]
+                figure, limit, room = self._cold_figure(proposed, on, mixed, n)
+                if n in cut:  # stays at its budget, whatever the others' cuts move
+                    more |= figure > limit * SLACK
+                    cut[n] = room
+                    continue
+                if figure <= limit * SLACK or not set(on) & set(mixed):
+                    continue
+                if n not in self.told:
+                    self.told.add(n)
+                    if not self._find("cold budget", on[0], [n], figure, limit):
+                        continue
+                if "cold budget" not in self.rules.warn:
+                    cut[n], more = room, True
+            if not more:
+                return
+            for number in mixed:
+                self._cut(number, cut)
+
+    def _cold_figure(
+        self, proposed: Mapping[int, Proposal], on: list[int], mixed: list[int], server: str
+    ) -> tuple[float, float, float]:
+        """What a cold server gets, what it may, and the factor by which its part beside warm lines must fall."""
+        budget = self.budget(server)
+        if budget is None or any(proposed[number].demand is None for number in on):
+            figure, limit = self._by_share(on, server)
+            # minus: a factor of its weight, not of its share
+            return figure, limit, -limit / figure if figure else -1.0
+        loads = {number: self._load(proposed, number, server) for number in on}
+        fixed = sum(load for number, load in loads.items() if number not in mixed)
+        moving = sum(loads.values()) - fixed
+        room = max(budget - fixed, 0.0) / moving if moving else 1.0
+        return fixed + moving, budget, room
+
+    def _cut(self, number: int, cut: Mapping[str, float]) -> None:
+        """Let the shares (or weights) of these servers fall by their factors; other lines keep their
+        weights."""
+        held, level = self.verdict.tables[number]
+        total = sum(held.values())
+        shares = {n: held[n] / total * factor for n, factor in cut.items() if n in held and factor >= 0}
+        lines = {n: w * -cut[n] if cut.get(n, 0) < 0 else w for n, w in held.items()}
+        rest = sum(w for n, w in lines.items() if n not in shares)
+        whole = rest / (1 - sum(shares.values()))
+        made = {n: whole * shares[n] if n in shares else w for n, w in lines.items()}
+        self.verdict.tables[number] = ({n: w for n, w in made.items() if w > 0}, level)
+
+    def _has_warm(self, number: int) -> bool:
+        return any(self._warm(n) for n in self.verdict.tables[number][0])
+
+    def _by_share(self, on: list[int], server: str) -> tuple[float, float]:
+        """A cold server's weight by its listed one, against the warm lines' beside it.
+
+        For a planner just started, which knows no demand or full work: while the warm ones are not overfull,
+        a
+        cold one within this is not over its budget.
+        """
+        limit = self.set.fall_multiple * self.capacity(self.facts[server], self.now)
+        most = 0.0
+        for number in on:
+            lines = self.verdict.tables[number][0]
+            warm = [w / self.facts[n].weight for n, w in lines.items() if self._warm(n)]
+            if warm:
+                most = max(most, lines[server] / self.facts[server].weight / (sum(warm) / len(warm)))
+        return most, limit
+
+    def _only_cold(self, proposed: Mapping[int, Proposal], alone: list[int]) -> None:
+        """Tables of nothing but cold servers: more than these may be sent would push them over for good."""
+        known = [k for k in alone if self.verdict.tables[k][0] and proposed[k].demand is not None]
+        loads: dict[str, float] = defaultdict(float)
+        for number in known:
+            for n in self.verdict.tables[number][0]:
+                loads[n] += self._load(proposed, number, n)
+        for number in known:
+            lines, level = self.verdict.tables[number]
+            budgets = {n: b for n in lines if self._open(n) and (b := self.budget(n))}
+            over = max((loads[n] / b for n, b in budgets.items()), default=0.0)
+            if over > SLACK and self._find("only cold servers", number, list(lines), over, 1.0):
+                self.verdict.tables[number] = (lines, min(level, 1.0) / over)
+
+    # -- lateness
+
+    def _late(self, number: int, table: Proposal, before: Mapping[str, float]) -> None:
+        """Whether a change makes the table less safe under the lists that could be true, and unsafe at that.
+
+        Counted and told, not mended: at ordinary load most tables are unsafe under the worst list, and
+        holding back
+        a change would leave one in force that is as bad.
+        """
+        lines, level = self.verdict.tables[number]
+        if not table.zones or table.demand is None:
+            return
+        rate = table.demand * min(level, 1.0)
+
+        def figure(held: Mapping[str, float]) -> tuple[float, str]:
+            known = {n: w for n, w in held.items() if n in self.facts and self.facts[n].zone in self.full}
+            start = {n: self.set.fall_multiple * self.set.start_capacity * self.full[self.facts[n].zone]
+                     * self.facts[n].weight for n in known}  # fmt: skip
+            ratio, server, _ = worst(known, rate, start, math.floor(self.rules.late_part * len(known)))
+            return ratio, server
+
+        (now, server), (then, _) = figure(lines), figure(before)
+        if now > 1 and now > then * 1.05 and before:
+            self.verdict.refusals.append(Refusal(LATE, number, (server,), now, 1.0, "warned"))
--- a/swiftchute/planner/core.py
+++ b/swiftchute/planner/core.py
@@ -16,10 +16,13 @@
 import random
 import traceback
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from typing import Any
 
+from swiftchute.guard.gate import Gate
+from swiftchute.guard.guard import Fact, Proposal, Rules
+from swiftchute.guard.seen import Seen
 from swiftchute.interface import Call, Decider, Entry, Settings
 from swiftchute.planner.channel import Channel
 from swiftchute.planner.orders import Orders, Round
@@ -35,6 +38,7 @@
 FAULT_WAIT = 10 * S
 CALLS_MOST = 200_000  # calls that may wait for a round; joins, leaves and lists pass the bound, sums do not
 SEALS_KEPT = 4096  # marks whose time of order is remembered
+FACTS_MOST = 200_000  # servers the guard remembers, those gone among them
 IDLE = 1 * S  # a turn at least so often
 
 Line = tuple[str, str, float]  # server, its zone, weight
@@ -78,15 +82,25 @@
     """The state of one planner's life."""
 
     def __init__(
-        self, settings: Settings, seed: int, make: Callable[[Settings, int], Decider], now: int = 0
+        self,
+        settings: Settings,
+        seed: int,
+        make: Callable[[Settings, int], Decider],
+        now: int = 0,
+        guard: Rules | None = None,
+        enforce: bool = True,
     ) -> None:
-        """`make` builds the deciding module, anew after each of its faults."""
+        """`make` builds the module, anew after each of its faults; without `guard` tables go out as
+        ordered."""
+        self.rules, self.enforce = guard, enforce
         self.set, self.make, self.random = settings, make, random.Random(seed)
         self.planner: Decider | None = make(settings, seed)
         self.sums = Sums(settings.report_lines, settings.report_period)
         self.proxies: dict[Any, _Joined] = {}
         self.list: dict[str, Entry] = {}
         self.zones: dict[str, str] = {}
+        self.facts: dict[str, Fact] = {}  # what the list says of each server, for the guard
+        self.reviewed = now
         self.barred: frozenset[str] = frozenset()  # servers listed as draining, or gone where gone binds
         self.calls: list[Call] = []
         self.timers: list[tuple[int, int]] = []
@@ -99,7 +113,9 @@
 
     def _fresh(self) -> None:
         s = self.set
-        self.orders = Orders(s)
+        self.orders = Orders(s, lenient=self.rules is not None and self.enforce)
+        self.gate = Gate(s, self.rules, self.enforce) if self.rules else None
+        self.seen = Seen()
         self.channel = Channel(
             s.channel_pace, s.channel_limit, s.message_lines, s.message_limit, s.message_window
         )
@@ -147,6 +163,9 @@
                 self.list.pop(server, None)
             else:
                 self.list[server] = entry
+            self.facts[server] = Fact(zone, state, entry[6], entry[5])
+            if len(self.facts) > FACTS_MOST:  # those gone are forgotten; to the guard they are gone still
+                self.facts = {n: f for n, f in self.facts.items() if f.state != "gone"}
             binds = state == "draining" or (state == "gone" and self.set.gone_binds)
             (barred.add if binds else barred.discard)(server)
         self.barred = frozenset(barred)
@@ -182,6 +201,8 @@
             self._sum(call)
         if self.calls and self.planner is not None:
             self._round(now)
+        if self.gate and now - self.reviewed >= IDLE:  # warmth, demand and the list move without orders
+            self._review((), now)
         for proxy, _ in self.channel.take(now):
             joined = self.proxies.get(proxy)
             if joined is not None:
@@ -194,6 +215,8 @@
     def _round(self, now: int) -> None:
         calls, self.calls = self.calls, []
         self.counts["rounds"] += 1
+        for call in calls if self.gate else ():
+            self.seen.told(call, now)
         try:
             assert self.planner is not None
             self.planner.decide(now, calls, self.orders)
@@ -208,13 +231,17 @@
         self.timers += [(now + wait, token) for wait, token in done.timers]
         if done.tables or done.withdrawals:
             self.holdings.clear()
+        if done.bad:
+            self.event("order mended", rule="bad weight", lines=[list(b) for b in done.bad[:8]])
+        if self.gate and (done.tables or done.withdrawals or done.bound):
+            self._review(done.tables, now)
         if done.seal is not None:
             self.ordered[done.seal] = now
             while len(self.ordered) > SEALS_KEPT:
                 del self.ordered[next(iter(self.ordered))]
             for proxy in done.lines:
                 self.proxies[proxy].seal = done.seal
-        self.out.refused = self.channel.put(done.lines, now)
+        self.out.refused += self.channel.put(done.lines, now)
         if self.out.refused:
             self.event(
                 "channel full",
@@ -230,14 +257,45 @@
         table = self.orders.tables[number]
         kept = self.contents.get(number)
         if kept is None or kept[0] != table.revision:
-            shut = self.orders.shut
-            lines = tuple(
-                (s, self.zones.get(s, ""), w) for s, w in sorted(table.lines.items()) if s not in shut
-            )
-            levels = tuple(self.orders.level(number, place) for place in range(len(self.set.operations)))
-            kept = self.contents[number] = (table.revision, Content(lines, levels))
+            levels = [self.orders.level(number, place) for place in range(len(self.set.operations))]
+            open_ = {s: w for s, w in table.lines.items() if s not in self.orders.shut}
+            if self.gate and number in self.gate.allowed:
+                open_, most = self.gate.allowed[number]
+                levels = [(min(level, most), tries) for level, tries in levels]
+            lines = tuple((s, self.zones.get(s, ""), w) for s, w in sorted(open_.items()))
+            kept = self.contents[number] = (table.revision, Content(lines, tuple(levels)))
         return kept[1]
 
+    def _review(self, touched: Collection[int], now: int) -> None:
+        """Let the guard see all tables; what it changes by itself goes out by the channel like an order."""
+        assert self.gate is not None
+        self.reviewed = now
+        proposed = {number: self._proposal(number, now) for number in self.orders.tables}
+        full = self.seen.full(self.facts, self.gate.warm(self.facts, now), now)
+        lines: dict[Any, int] = {}
+        for number in self.gate.review(proposed, touched, self.facts, full, now):
+            self.orders.tables[number].revision += 1
+            self.holdings.clear()
+            for proxy in self.orders.on.get(number, ()):
+                lines[proxy] = lines.get(proxy, 0) + len(self.gate.allowed[number][0])
+        if lines:
+            self.out.refused += self.channel.put(lines, now)
+        self.out.events += self.gate.events()
+
+    def _proposal(self, number: int, now: int) -> Proposal:
+        table, proxies = self.orders.tables[number], self.orders.on.get(number, {})
+        bound = [self.orders.proxies[p].bound for p in proxies]
+        places = sorted({place for held in bound for place, t in held.items() if t == number})
+        operations = [self.set.operations[place] for place in places]
+        levels = [self.orders.level(number, place)[0] for place in places]
+        return Proposal(
+            {s: w for s, w in table.lines.items() if s not in self.orders.shut},
+            max(levels, default=1.0),
+            frozenset(self.orders.proxies[p].zone for p in proxies),
+            any(op.own_zone for op in operations),
+            self.seen.demand(proxies, [op.name for op in operations], now) if proxies else None,
+        )
+
     def held(self, proxy: Any) -> Holding:
         """What a proxy should hold by what was ordered until now; the same object for all on the same
         tables."""
--- a/swiftchute/planner/orders.py
+++ b/swiftchute/planner/orders.py
@@ -45,6 +45,8 @@
     everyone: bool = False
     tables: dict[int, int] = field(default_factory=dict)  # changed tables, with their changed lines
     withdrawals: bool = False
+    bound: bool = False  # a proxy was put on a table
+    bad: list[tuple[int, str, str]] = field(default_factory=list)  # lines with a weight that cannot be
     timers: list[tuple[int, int]] = field(default_factory=list)
     logs: list[str] = field(default_factory=list)
     watch: bool | None = None
@@ -54,9 +56,10 @@
 class Orders:
     """State of all tables and bindings of one planner's life; the verbs change it at once."""
 
-    def __init__(self, settings: Settings) -> None:
-        """Start without tables, proxies and withdrawals."""
-        self.set = settings
+    def __init__(self, settings: Settings, lenient: bool = False) -> None:
+        """Start without tables, proxies and withdrawals; `lenient` leaves weights that cannot be to
+        the guard."""
+        self.set, self.lenient = settings, lenient
         self.tables: dict[int, Table] = {}
         self.proxies: dict[Any, Held] = {}
         self.shut: set[str] = set()
@@ -112,7 +115,10 @@
     def line(self, table: int, server: str, weight: float) -> None:
         """Set one line of a table; weight 0 takes it away."""
         if not 0 <= weight < float("inf"):
-            raise BadOrder(f"table {table}, {server}: weight {weight}")
+            if not self.lenient:
+                raise BadOrder(f"table {table}, {server}: weight {weight}")
+            self.round.bad.append((table, server, str(weight)))  # the line keeps what it had
+            return
         lines = self._table(table).lines
         if weight:
             lines[server] = weight
@@ -131,6 +137,7 @@
         if proxy not in self.proxies:
             return  # it has left meanwhile
         held, bound = self._table(table), self.proxies[proxy].bound
+        self.round.bound = True
         for place in self._places(mask):
             old = bound.get(place)
             bound[place] = table
--- a/swiftchute/planner/service.py
+++ b/swiftchute/planner/service.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from swiftchute.config import Config
+from swiftchute.guard.guard import Rules
 from swiftchute.observe.log import mode_fields
 from swiftchute.planner.core import Core
 from swiftchute.policy import Planner
@@ -16,7 +17,10 @@
 
 S = 1_000_000_000
 ROUND = 5_000_000  # what comes in within so long makes one round, as in the bench's rounds
-_WARN = ("module fault", "module waits", "table refused", "proxy silent", "channel full", "stood still")
+_WARN = (
+    "module fault", "module waits", "table refused", "proxy silent", "channel full", "stood still", "guard",
+    "table held", "order mended",
+)  # fmt: skip
 
 
 class Service:
@@ -27,7 +31,11 @@
         self.config, self.log = config, log
         self.clock = time.monotonic_ns
         now = self.clock()
-        self.core = Core(config.settings, config.seed, make, now)
+        of = config.guard
+        rules = (
+            Rules(frozenset(of["warn"]), of["line_part"], of["late_part"]) if of["mode"] != "off" else None
+        )
+        self.core = Core(config.settings, config.seed, make, now, rules, of["mode"] == "enforce")
         xds, life = config.xds, int(time.time() * 1000)
         self.front = Front(
             self.core,
@@ -128,4 +136,7 @@
             if self.handle is not None:
                 self.handle.cancel()
             await self.shell.stop()
-            self.log.info("stopped", counts=self.core.counts | self.front.counts)
+            gate = self.core.gate
+            self.log.info(
+                "stopped", counts=self.core.counts | self.front.counts, guard=gate.counts if gate else {}
+            )
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -144,27 +144,26 @@
 }  # fmt: skip
 
 
+GUARDED = ("lost", "drain", "cold")  # what a guard can mend; the others are the module's and the channel's
+
+
 def play(rule, kind):
     """One day in a process of its own: a loop shared by all would slow each by the others' load."""
+    day, make, loose = BROKEN.get(rule, (DAYS.get(rule), None, {}))
+    if kind == "kept":
+        make, loose = Planner, {}
     with tempfile.TemporaryDirectory() as folder:
-        if kind == "process":
-            runner = Runner(DAYS[rule], 7, folder)
-        else:
-            day, make, loose = BROKEN[rule]
-            runner = (
-                Runner(day, 7, folder, make, loose=loose)
-                if kind == "broken"
-                else Runner(day, 7, folder, Planner)
-            )
-        result = uvloop.run(runner.run())
+        guard = "off" if kind == "broken" else "enforce"
+        result = uvloop.run(Runner(day, 7, folder, make, loose=loose, guard=guard).run())
     return result, judge(result.evidence)
 
 
 @pytest.fixture(scope="module")
 def played():
-    """Each broken planner's day, and the same days with the module as it is."""
+    """Each broken planner's day without a guard and under one, and the same days with the module as it is."""
     days = [(rule, kind) for rule in BROKEN for kind in ("broken", "kept")] + [("half-push", "process")]
-    with ProcessPoolExecutor(len(days), multiprocessing.get_context("spawn")) as pool:
+    days += [(rule, "guarded") for rule in GUARDED]
+    with ProcessPoolExecutor(8, multiprocessing.get_context("spawn")) as pool:
         return dict(zip(days, pool.map(play, *zip(*days, strict=True)), strict=True))
 
 
@@ -183,6 +182,12 @@
     assert result.replayed > 20
 
 
+@pytest.mark.parametrize("rule", GUARDED)
+def test_under_the_guard_the_same_broken_planner_keeps_every_rule(played, rule):
+    result, verdicts = played[rule, "guarded"]
+    assert not broken(result, verdicts), text(result, verdicts)
+
+
 def test_a_planner_killed_with_half_a_push_out_keeps_the_rules_after_its_return(played):
     result, verdicts = played["half-push", "process"]
     assert not broken(result, verdicts), text(result, verdicts)
--- /dev/null
+++ b/tests/test_guard.py
@@ -0,0 +1,300 @@
+"""The guard against an oracle written apart from it, and its hard cases.
+
+The oracle works from the rules' words with sums over all lines, in its own arithmetic; it imports nothing of
+the guard
+but the types.
+"""
+
+import itertools
+import math
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from swiftchute.guard.guard import EXCEPTIONS, Fact, Guard, Proposal, Rules
+from swiftchute.guard.late import worst
+from swiftchute.interface import Settings
+from tests.conftest import FACTS, operation
+
+S = 1_000_000_000
+NOW = 1000 * S
+SETTINGS = Settings(
+    **(FACTS | {"operations": (operation("read"), operation("write"))})
+)  # 16 s to warm, 2.5 times
+ZONES = ("east", "west")
+
+
+def fact(zone="east", state="ready", age=None, weight=1.0):
+    return Fact(zone, state, 0 if age is None else NOW - int(age * S), weight)
+
+
+def table(zones=("east",), level=1.0, local=False, demand=10.0, **lines):
+    return Proposal(lines, level, frozenset(zones), local, demand)
+
+
+@pytest.fixture
+def judge():
+    def run(proposed, facts, before=None, full=None, now=NOW, **rules):
+        guard = Guard(SETTINGS, Rules(**rules))
+        return guard.judge(
+            proposed, before or {}, facts, {"east": 10.0, "west": 10.0} if full is None else full, now
+        )
+
+    return run
+
+
+def rules_of(verdict):
+    return {r.rule for r in verdict.refusals if r.rule != "late list"}
+
+
+# -- the oracle
+
+
+def part(f, now):
+    """How much of its full work a server can do: by the settings' words, evenly from the start's share."""
+    if f.started == 0:
+        return 1.0
+    return min(1.0, 0.2 + 0.8 * max(0.0, (now - f.started) / (16 * S)))
+
+
+def unsafe(tables, levels, zones, local, demand, facts, full, now):
+    """Names of the rules that tables as they stand would break, by enumeration of every line."""
+    broken = set()
+    ready = [n for n, f in facts.items() if f.state == "ready"]
+    for t, lines in tables.items():
+        if any(math.isnan(w) or math.isinf(w) or w <= 0 for w in lines.values()):
+            broken.add("bad weight")
+            continue
+        if any(n not in facts or facts[n].state != "ready" for n in lines):
+            broken.add("barred server")
+        if not zones[t]:
+            continue
+        if local[t] and any(facts[n].zone not in zones[t] for n in lines if n in ready):
+            broken.add("own zone")
+        own = [n for n in ready if facts[n].zone in zones[t]]
+        may = own if local[t] or any(part(facts[n], now) == 1 for n in own) else ready
+        if not lines and may:
+            broken.add("empty pool")
+        if any(part(facts[n], now) == 1 for n in may) and not any(
+            n in ready and part(facts[n], now) == 1 for n in lines
+        ):
+            broken.add("empty pool" if not lines else "no warm server")
+    if "bad weight" in broken:
+        return broken
+    for n in ready:
+        if part(facts[n], now) == 1:
+            continue
+        on = [t for t in tables if zones[t] and n in tables[t]]
+        if not on:
+            continue
+        budget = 2.5 * part(facts[n], now) * full[facts[n].zone] * facts[n].weight
+        load = sum(demand[t] * levels[t] * tables[t][n] / sum(tables[t].values()) for t in on)
+        if load > budget * 1.01:
+            alone = all(not any(m in ready and part(facts[m], now) == 1 for m in tables[t]) for t in on)
+            broken.add("only cold servers" if alone else "cold budget")
+    return broken
+
+
+servers = st.integers(1, 7).flatmap(
+    lambda count: st.tuples(
+        *[
+            st.builds(
+                fact,
+                st.sampled_from(ZONES),
+                st.sampled_from(["ready", "ready", "ready", "draining", "gone"]),
+                st.sampled_from([None, None, 0.0, 2.0, 9.0, 15.9, 16.0]),
+                st.sampled_from([0.5, 1.0, 4.0]),
+            )
+            for _ in range(count)
+        ]
+    )
+)
+weights = st.sampled_from([1e-4, 0.3, 1.0, 5.0, 1e6, 0.0, -1.0, math.nan, math.inf])
+
+
+@st.composite
+def worlds(draw):
+    facts = {f"s{k}": f for k, f in enumerate(draw(servers))}
+    known = [*facts, "stranger"]
+    rows = {}
+    for t in range(draw(st.integers(1, 3))):
+        lines = draw(st.dictionaries(st.sampled_from(known), weights, max_size=6))
+        zones = draw(st.sampled_from([(), ("east",), ("west",), ZONES]))
+        rows[t] = Proposal(
+            lines, draw(st.sampled_from([1.0, 0.5, 0.1])), frozenset(zones), draw(st.booleans()),
+            draw(st.sampled_from([0.0, 5.0, 40.0, 400.0])))  # fmt: skip
+    before = {t: draw(st.dictionaries(st.sampled_from(list(facts)), st.just(1.0), max_size=4)) for t in rows}
+    return rows, facts, before, {"east": draw(st.sampled_from([1.0, 12.0])), "west": 12.0}
+
+
+def agree(world):
+    rows, facts, before, full = world
+    verdict = Guard(SETTINGS, Rules()).judge(rows, before, facts, full, NOW)
+    zones, local = {t: p.zones for t, p in rows.items()}, {t: p.local for t, p in rows.items()}
+    demand = {t: p.demand for t, p in rows.items()}
+    asked = unsafe({t: dict(p.lines) for t, p in rows.items()}, {t: p.level for t, p in rows.items()},
+                   zones, local, demand, facts, full, NOW)  # fmt: skip
+    after = unsafe(
+        {t: lines for t, (lines, _) in verdict.tables.items()},
+        {t: level for t, (_, level) in verdict.tables.items()},
+        zones,
+        local,
+        demand,
+        facts,
+        full,
+        NOW,
+    )
+    named = rules_of(verdict)
+    if not asked:  # nothing safe is refused: it goes out to the letter
+        assert named <= {"no open server"}
+        assert {
+            t: (dict(p.lines), p.level) for t, p in rows.items()
+        } == verdict.tables or "no open server" in named
+    elif "bad weight" not in asked:
+        emptied = {"empty pool", "no warm server"}  # a table of barred servers alone is both
+        assert asked - emptied <= named | {*EXCEPTIONS, "cold budget"}  # every refusal names the rule broken
+        assert not asked & emptied or named & {*emptied, "no open server"}
+    if "no open server" not in named:
+        assert not after, (asked, after)  # nothing unsafe passes
+    drained = [
+        n for lines, _ in verdict.tables.values() for n in lines if n in facts and facts[n].state != "ready"
+    ]
+    assert not drained or "no open server" in named
+
+
+@given(worlds())
+@hypothesis_settings(max_examples=1500, deadline=None, derandomize=True)
+def test_generated_tables_against_the_oracle(world):
+    agree(world)
+
+
+# -- lateness
+
+
+def by_enumeration(lines, rate, budget, k):
+    """Every choice of up to `k` workers that differ from the list, each of them cold or gone."""
+    most = 0.0
+    for count in range(1, k + 1):
+        for chosen in itertools.combinations(lines, count):
+            for cold in itertools.product((True, False), repeat=count):
+                gone = {n for n, c in zip(chosen, cold, strict=True) if not c}
+                left = sum(w for n, w in lines.items() if n not in gone)
+                for n, c in zip(chosen, cold, strict=True):
+                    if c:
+                        most = max(most, rate * lines[n] / left / budget[n])
+    return most
+
+
+@given(
+    st.lists(st.tuples(st.floats(0.01, 10), st.floats(0.1, 10)), min_size=1, max_size=6),
+    st.integers(0, 4),
+)
+@hypothesis_settings(max_examples=400, deadline=None, derandomize=True)
+def test_the_worst_late_list_is_that_of_brute_force(rows, k):
+    lines = {f"s{n}": w for n, (w, _) in enumerate(rows)}
+    budget = {f"s{n}": b for n, (_, b) in enumerate(rows)}
+    ratio, cold, gone = worst(lines, 7.0, budget, min(k, len(rows)))
+    assert ratio == pytest.approx(by_enumeration(lines, 7.0, budget, min(k, len(rows))))
+    assert cold not in gone
+
+
+def test_a_change_that_is_only_safe_if_the_list_is_not_late_is_told(judge):
+    facts = {f"s{k}": fact() for k in range(5)}
+    even, heavy = dict.fromkeys(facts, 1.0), dict.fromkeys(facts, 1.0) | {"s0": 9.0}
+    told = judge({1: table(demand=20.0, **heavy)}, facts, {1: even})
+    (refusal,) = told.refusals
+    assert (refusal.rule, refusal.servers, refusal.done) == ("late list", ("s0",), "warned")
+    assert judge({1: table(demand=20.0, **even)}, facts, {1: heavy}).refusals == []
+
+
+# -- hard cases
+
+
+def test_a_drain_inside_a_refused_table_still_goes(judge):
+    facts = {"a": fact(), "b": fact(state="draining"), "c": fact(age=0)}
+    verdict = judge({1: table(c=1.0)}, facts, {1: {"a": 1.0, "b": 1.0}})
+    lines, _ = verdict.tables[1]
+    assert "a" in lines
+    assert "b" not in lines
+    assert "no warm server" in rules_of(verdict)
+
+
+def test_an_empty_table_gets_its_old_lines_less_the_drained(judge):
+    facts = {"a": fact(), "b": fact(state="draining"), "c": fact()}
+    verdict = judge({1: table()}, facts, {1: {"a": 0.7, "b": 1.0}})
+    assert verdict.tables[1] == ({"a": 0.7}, 1.0)
+    assert rules_of(verdict) == {"empty pool"}
+
+
+def test_a_zone_with_one_server_that_drains_uses_other_zones(judge):
+    facts = {"a": fact(state="draining"), "w": fact("west")}
+    assert judge({1: table(a=1.0)}, facts).tables[1][0] == {"w": 1.0}
+    local = judge({1: table(a=1.0, local=True)}, facts)
+    assert rules_of(local) == {"barred server", "no open server"}
+    assert local.tables[1][0] == {"a": 1.0}  # no table is safe: what there is stays, under a named exception
+
+
+def test_all_servers_of_a_zone_replaced_at_once(judge):
+    facts = {"a": fact(state="gone"), "c": fact(age=1), "d": fact(age=1), "w": fact("west")}
+    lines, level = judge({1: table(c=1.0, d=1.0, demand=30.0)}, facts, {1: {"a": 1.0}}).tables[1]
+    assert lines["w"] > 0
+    assert level == 1.0
+    assert 30.0 * lines["c"] / sum(lines.values()) <= 2.5 * 0.25 * 10 * 1.01
+
+
+def test_a_hundred_cold_of_a_hundred_go_out_with_a_level(judge):
+    facts = {f"s{k}": fact(age=0) for k in range(100)}
+    verdict = judge({1: table(demand=1000.0, **dict.fromkeys(facts, 1.0))}, facts)
+    lines, level = verdict.tables[1]
+    assert len(lines) == 100
+    assert level == pytest.approx(100 * 2.5 * 0.2 * 10 / 1000)
+    assert rules_of(verdict) == {"only cold servers"}
+
+
+def test_two_tables_each_safe_alone_and_unsafe_together(judge):
+    facts = {"a": fact(), "c": fact(age=0)}
+    one = table(a=1.0, c=1.0, demand=8.0)
+    assert judge({1: one}, facts).refusals == []
+    both = judge({1: one, 2: one}, facts)
+    assert rules_of(both) == {"cold budget"}
+    assert sum(8.0 * lines["c"] / sum(lines.values()) for lines, _ in both.tables.values()) <= 5.0 * 1.01
+
+
+def test_a_planner_just_started_knows_no_demand_and_goes_by_shares(judge):
+    facts = {"a": fact(), "b": fact(), "c": fact(age=0)}
+    fair = Proposal({"a": 1.0, "b": 1.0, "c": 0.25}, 1.0, frozenset({"east"}))
+    assert judge({1: fair}, facts, full={}).refusals == []
+    flood = Proposal({"a": 1.0, "b": 1.0, "c": 1000.0}, 1.0, frozenset({"east"}))
+    verdict = judge({1: flood}, facts, full={})
+    assert rules_of(verdict) == {"cold budget"}
+    assert verdict.tables[1][0]["c"] <= 0.5 * 1.01
+
+
+def test_a_list_that_calls_most_gone_while_they_serve_is_not_obeyed_where_gone_does_not_bind():
+    settings = Settings(**(FACTS | {"operations": SETTINGS.operations, "gone_binds": False}))
+    facts = {f"s{k}": fact(state="gone" if k else "ready") for k in range(5)}
+    verdict = Guard(settings, Rules()).judge({1: table(**dict.fromkeys(facts, 1.0))}, {}, facts, {}, NOW)
+    assert verdict.refusals == []
+
+
+def test_a_weight_that_is_lost_beside_a_million_leaves_no_cold_server_the_rest(judge):
+    facts = {"a": fact(), "c": fact(age=0)}
+    verdict = judge({1: table(a=1.0, c=1e6)}, facts)
+    lines, _ = verdict.tables[1]
+    assert 10 * lines["c"] / sum(lines.values()) <= 5.0 * 1.01
+
+
+def test_one_line_may_have_no_more_than_its_part_beside_others(judge):
+    facts = {n: fact() for n in "abc"}
+    verdict = judge({1: table(a=100.0, b=1.0, c=1.0)}, facts, line_part=0.6)
+    lines, _ = verdict.tables[1]
+    assert lines["a"] / sum(lines.values()) == pytest.approx(0.6)
+
+
+def test_a_rule_that_only_warns_changes_nothing(judge):
+    facts = {"a": fact(state="draining"), "b": fact()}
+    verdict = judge({1: table(a=1.0, b=1.0)}, facts, warn=frozenset({"barred server"}))
+    assert verdict.tables[1][0] == {"a": 1.0, "b": 1.0}
+    assert [(r.rule, r.done) for r in verdict.refusals] == [("barred server", "warned")]
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -7,6 +7,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from swiftchute.guard.guard import Rules
 from swiftchute.interface import Settings
 from swiftchute.planner.channel import Channel
 from swiftchute.planner.core import Core
@@ -252,3 +253,99 @@
         for k in range(20):
             writer.line(1, f"10.0.0.{k}:80", 1.0)
         writer.bind("p", 1, 0)
+
+
+# -- under the guard
+
+
+class Bent(Planner):
+    """Writes what `bent` says at the end of a round, past its own bookkeeping."""
+
+    bent = None
+
+    def decide(self, now, calls, writer):
+        super().decide(now, calls, writer)
+        if Bent.bent is not None:
+            Bent.bent(writer)
+            Bent.bent = None
+
+
+@pytest.fixture
+def guarded():
+    made = Core(SETTINGS, 7, Bent, guard=Rules())
+    made.listed(news("a:1", "b:1"))
+    made.joined("p", "east", 10.0, True)
+    play(made, 0, 2)
+    return made
+
+
+def lines(core):
+    return {s: w for made in core.held("p").contents.values() for s, w in ((s, w) for s, _, w in made.lines)}
+
+
+def test_a_weight_that_cannot_be_is_mended_and_no_fault_of_the_module(guarded):
+    before = lines(guarded)
+    Bent.bent = lambda writer: [writer.line(1, "a:1", w) for w in (float("nan"), -1.0)]
+    events = [e for t in play(guarded, 2 * S, 1) for e in t.events]
+    assert (
+        "order mended",
+        {"rule": "bad weight", "lines": [[1, "a:1", "nan"], [1, "a:1", "-1.0"]]},
+    ) in events
+    assert guarded.counts["faults"] == 0
+    assert lines(guarded) == before
+
+
+def test_an_emptied_table_reaches_no_front(guarded):
+    Bent.bent = lambda writer: writer.clear(1)
+    events = [e for t in play(guarded, 2 * S, 1) for e in t.events]
+    assert lines(guarded) == {"a:1": 1.0, "b:1": 1.0}
+    (first, *_) = [fields for name, fields in events if name == "guard"]
+    assert (first["rule"], first["table"], first["done"]) == ("empty pool", 1, "mended")
+
+
+def test_a_table_held_longer_than_the_grace_raises_one_alarm(guarded):
+    Bent.bent = lambda writer: writer.clear(1)
+    events = [name for t in play(guarded, 2 * S, 6) for name, _ in t.events]
+    assert events.count("guard") == 1  # told once, then counted
+    assert events.count("table held") == 1
+    assert guarded.gate.counts["empty pool"] >= 5
+
+
+class Fixed:
+    """Orders one table once: two warm servers, and a third at a thousand times their weight."""
+
+    def __init__(self, settings, seed):
+        self.ordered = False
+
+    def decide(self, now, calls, writer):
+        if not self.ordered:
+            self.ordered = True
+            for server, weight in (("a:1", 1.0), ("b:1", 1.0), ("c:1", 1000.0)):
+                writer.line(1, server, weight)
+            writer.bind("p", 1, 0)
+
+
+def test_caps_of_a_warming_server_rise_by_pushes_of_the_guards_own():
+    core = Core(SETTINGS, 7, Fixed, guard=Rules())
+    core.listed(news("a:1", "b:1"))
+    core.listed(News("changes", (("c:1", "east", "", 0, "ready", 1.0, 1),), ()))
+    core.joined("p", "east", 10.0, True)
+    seen, pushes = [], 0
+    for k in range(18):
+        pushes += sum(len(t.pushes) for t in play(core, k * S, 1))
+        seen.append(lines(core)["c:1"])
+    assert seen[0] == pytest.approx(2.5 * 0.2, rel=0.1)
+    assert seen == sorted(seen)
+    assert seen[-1] == 1000.0  # warm: the table goes out as it was ordered
+    assert pushes > 5
+
+
+def test_a_guard_that_only_warns_lets_tables_out_as_ordered():
+    core = Core(SETTINGS, 7, Bent, guard=Rules(), enforce=False)
+    core.listed(news("a:1", "b:1"))
+    core.joined("p", "east", 10.0, True)
+    play(core, 0, 2)
+    Bent.bent = lambda writer: writer.clear(1)
+    events = [e for t in play(core, 2 * S, 1) for e in t.events]
+    assert lines(core) == {}
+    assert [f["done"] for name, f in events if name == "guard"][:1] == ["warned"]
