--- a/swiftchute/guard/guard.py
+++ b/swiftchute/guard/guard.py
@@ -256,7 +256,7 @@
     def _cold_figure(
         self, proposed: Mapping[int, Proposal], on: list[int], mixed: list[int], server: str
     ) -> tuple[float, float, float]:
-        """What a cold server gets, what it may, and the factor by which its part beside warm lines must fall."""
+        """What a cold server gets, what it may, and the factor by which its part must fall."""
         budget = self.budget(server)
         if budget is None or any(proposed[number].demand is None for number in on):
             figure, limit = self._by_share(on, server)
