--- a/benchmarks/push.py
+++ b/benchmarks/push.py
@@ -28,13 +28,13 @@
 from swiftchute.standin.client import Client
 from swiftchute.xds.shell import ADS, Raw
 
-WORKERS, PROCESSES = 100, 4
+WORKERS, PROCESSES = int(os.environ.get("WORKERS", "100")), 4
 SETTINGS = """
 service {{
   zones = ["z"]
   zone = "z"
   proxies = {gateways}
-  standing_lines = 100
+  standing_lines = {workers}
   seed = 7
 }}
 operation "lot-estimate" {{
@@ -68,6 +68,9 @@
   read_within = "600s"
   ack_within = "600s"
 }}
+guard {{
+  mode = "{guard}"
+}}
 log {{
   level = "error"
 }}
@@ -153,11 +156,14 @@
 class Bench:
     """One planner and its client processes."""
 
-    def __init__(self, gateways: int, form: str, folder: str, profile: str = "") -> None:
+    def __init__(
+        self, gateways: int, form: str, folder: str, profile: str = "", guard: str = "enforce"
+    ) -> None:
+        self.guard = guard
         self.profile = ["-m", "cProfile", "-o", profile] if profile else []
         self.gateways, self.form, self.folder = gateways, form, folder
         self.list = os.path.join(folder, "list.json")
-        self.servers = [f"127.1.0.{k + 1}:9000" for k in range(WORKERS)]
+        self.servers = [f"127.1.{k // 200}.{k % 200 + 1}:9000" for k in range(WORKERS)]
         self.children: list[asyncio.subprocess.Process] = []
 
     def publish(self, drained: str = "") -> int:
@@ -174,7 +180,11 @@
         self.publish()
         path = os.path.join(self.folder, "p.hcl")
         with open(path, "w", encoding="utf-8") as out:
-            out.write(SETTINGS.format(gateways=self.gateways, list=self.list, port=port))
+            out.write(
+                SETTINGS.format(
+                    gateways=self.gateways, list=self.list, port=port, guard=self.guard, workers=WORKERS
+                )
+            )
         self.planner = await asyncio.create_subprocess_exec(
             sys.executable, *self.profile, "-m", "swiftchute", "serve", path
         )
@@ -278,6 +288,27 @@
         return found
 
 
+async def guarded(gateways: int, changes: int) -> dict[str, float]:
+    """CPU of a change and its last ACK with and without the guard, two planners by turns in one run."""
+    with tempfile.TemporaryDirectory() as one, tempfile.TemporaryDirectory() as two:
+        benches = {
+            "off": Bench(gateways, "lines", one, guard="off"),
+            "enforce": Bench(gateways, "lines", two),
+        }
+        rows: dict[str, list[dict]] = {mode: [] for mode in benches}
+        for bench in benches.values():
+            await bench.start(free_port())
+            await bench.change(0)
+        for k in range(1, changes + 1):
+            for mode, bench in benches.items():
+                rows[mode].append(await bench.change(k))
+        for bench in benches.values():
+            await bench.stop()
+        middle = {m: {key: statistics.median(r[key] for r in found) for key in ("cpu", "last")}
+                  for m, found in rows.items()}  # fmt: skip
+        return {key: middle["enforce"][key] / middle["off"][key] for key in ("cpu", "last")}
+
+
 async def stalled(gateways: int, form: str, changes: int) -> dict:
     """The others' p99 with and without one gateway that reads nothing, by turns in one run."""
     with tempfile.TemporaryDirectory() as folder:
@@ -351,6 +382,11 @@
             f"{options.stall} gateways, one stalled: the others' p99 {two['stall']:.1f} ms,"
             f" without {two['go']:.1f} ms, {two['stall'] / two['go']:.2f} times"
         )
+    for size in map(int, filter(None, options.guard.split(","))):
+        two = await guarded(size, options.changes)
+        print(
+            f"{size} gateways, guard: CPU a change {two['cpu']:.2f} times, last ACK {two['last']:.2f} times"
+        )
     print(f"client processes' peak: {resource.getrusage(resource.RUSAGE_CHILDREN).ru_maxrss / 1024:.0f} MiB")
 
 
@@ -365,5 +401,6 @@
         parser.add_argument(
             "--profile", default="", help="write the planner's profile (cProfile) to this file"
         )
+        parser.add_argument("--guard", default="174,1000", help="sizes at which the guard is weighed")
         parser.add_argument("--stall", type=int, default=174)
         uvloop.run(run(parser.parse_args()))
--- a/examples/planner.hcl
+++ b/examples/planner.hcl
@@ -62,3 +62,7 @@
   listen      = "127.0.0.1:18000"
   max_message = "4MiB"
 }
+
+guard {
+  mode = "enforce" # or "warn", or "off"
+}
