Move the process around a planner to a package of its own: imports go one way

planner/service.py imported the xDS front, which builds on planner/core.py: the two packages pointed at each other. daemon/ now holds the process; no import runs back up.

--- a/swiftchute/cli/main.py
+++ b/swiftchute/cli/main.py
@@ -41,8 +41,8 @@
     """Run a planner until it is told to stop."""
     import uvloop
 
+    from swiftchute.daemon.service import Service
     from swiftchute.observe.log import setup
-    from swiftchute.planner.service import Service
 
     found = _load(config)
     log = setup(found.log_level, planner=found.settings.planner)
--- a/swiftchute/drill/day.py
+++ b/swiftchute/drill/day.py
@@ -125,7 +125,7 @@
 
     async def start(self) -> None:
         if self.make is not None:
-            from swiftchute.planner.service import Service
+            from swiftchute.daemon.service import Service
 
             service = Service(load(self.path), setup("error", planner=self.number), self.make)
             ready = asyncio.get_running_loop().create_future()
--- a/swiftchute/planner/__init__.py
+++ b/swiftchute/planner/__init__.py
@@ -1,1 +1,2 @@
-"""One running planner: the module's calls and verbs, its channel, its clock, and the shells around them."""
+"""One running planner without I/O: the module's calls and verbs, rounds, channel and sums. Fronts
+build on it."""
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -16,8 +16,8 @@
 from scipy.stats import chisquare
 
 from swiftchute.config import load
+from swiftchute.daemon.service import Service
 from swiftchute.observe.log import setup
-from swiftchute.planner.service import Service
 from swiftchute.policy import Planner
 from swiftchute.standin.client import Client
 from swiftchute.standin.gateway import Gateway
