swiftchute guard check: a written table judged against a list offline

Staff want to know whether a table would pass before it is anybody's. Exit code 1 if a rule refuses it, 2 for bad input with file, field and cause.

--- a/swiftchute/cli/main.py
+++ b/swiftchute/cli/main.py
@@ -88,3 +88,35 @@
     if out:
         report.write(out, day, seed, result, verdicts)
     sys.exit(1 if report.broken(result, verdicts) else 0)
+
+
+@main.group()
+def guard() -> None:
+    """The guard against bad tables."""
+
+
+@guard.command("check")
+@click.argument("config", type=click.Path())
+@click.argument("table", type=click.Path())
+@click.argument("servers", type=click.Path())
+def guard_check(config: str, table: str, servers: str) -> None:
+    """Judge a written TABLE against a list of SERVERS (file_sd) by the rules of CONFIG; exit code 1 if it is
+    refused.
+
+    TABLE is JSON: {"lines": {"address:port": weight}, "zones": ["north"]}; if known, "level", "local", "demand"
+    (invocations a second) and "full" (by zone, good answers a second that a warm server of weight 1 gives).
+    """
+    from swiftchute.guard import offline
+
+    settings = _load(config).settings
+    try:
+        verdict = offline.judge(settings, offline.read(table), offline.listed(servers, settings.zones))
+    except offline.BadInput as why:
+        click.echo(f"swiftchute: {why}", err=True)
+        sys.exit(2)
+    for refusal in verdict.refusals:
+        named = ", ".join(refusal.servers)
+        click.echo(f"{refusal.rule}: {refusal.figure:g}, limit {refusal.limit:g} ({refusal.done}): {named}")
+    lines, level = verdict.tables[0]
+    click.echo(f"may go out: level {level:g}, " + ", ".join(f"{n} {w:g}" for n, w in sorted(lines.items())))
+    sys.exit(1 if verdict.refusals else 0)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -44,3 +44,33 @@
     assert result.exit_code == 2
     assert "there are bad-day" in result.stderr
     assert call("drill", "--list").exit_code == 0
+
+
+@pytest.mark.parametrize(
+    ("table", "code", "says"),
+    [
+        ('{"lines": {"127.0.0.1:1": 1}, "zones": ["north"]}', 0, "may go out: level 1, 127.0.0.1:1 1"),
+        (
+            '{"lines": {"127.0.0.1:2": 1}, "zones": ["north"]}',
+            1,
+            "barred server: 1, limit 0 (mended): 127.0.0.1:2",
+        ),
+        ('{"lines": {"127.0.0.1:2": 1}, "zones": ["moon"]}', 2, "zones: moon are none of north, south, west"),
+        (
+            '{"lines": {"127.0.0.1:2": "x"}, "zones": []}',
+            2,
+            "Expected `float`, got `str` - at `$.lines[...]`",
+        ),
+        ('{"lines": {}, "zone": []}', 2, "unknown field `zone`"),
+    ],
+)
+def test_guard_check_judges_a_written_table(call, tmp_path, table, code, says):
+    (tmp_path / "t.json").write_text(table)
+    (tmp_path / "l.json").write_text(
+        '[{"targets": ["127.0.0.1:1"], "labels": {"zone": "north"}},'
+        ' {"targets": ["127.0.0.1:2"], "labels": {"zone": "north", "state": "draining"}}]'
+    )
+    result = call(
+        "guard", "check", "examples/planner.hcl", str(tmp_path / "t.json"), str(tmp_path / "l.json")
+    )
+    assert (result.exit_code, says in result.output + result.stderr) == (code, True), result.output
