--- a/swiftchute/cli/main.py
+++ b/swiftchute/cli/main.py
@@ -100,11 +100,10 @@
 @click.argument("table", type=click.Path())
 @click.argument("servers", type=click.Path())
 def guard_check(config: str, table: str, servers: str) -> None:
-    """Judge a written TABLE against a list of SERVERS (file_sd) by the rules of CONFIG; exit code 1 if it is
-    refused.
+    """Judge a written TABLE against a list of SERVERS (file_sd) by the rules of CONFIG; exit 1 if refused.
 
-    TABLE is JSON: {"lines": {"address:port": weight}, "zones": ["north"]}; if known, "level", "local", "demand"
-    (invocations a second) and "full" (by zone, good answers a second that a warm server of weight 1 gives).
+    TABLE is JSON: {"lines": {"address:port": weight}, "zones": ["north"]}, perhaps with "level", "local",
+    "demand" (invocations a second) and "full" (by zone, good answers a second of a warm server of weight 1).
     """
     from swiftchute.guard import offline
 
