Bound what a planner remembers of servers that are gone

A fleet whose addresses change with every deploy grew two tables for as long as a planner runs: zones by server, and the servers barred. Past a bound those gone are forgotten.

--- a/swiftchute/planner/core.py
+++ b/swiftchute/planner/core.py
@@ -38,7 +38,7 @@
 FAULT_WAIT = 10 * S
 CALLS_MOST = 200_000  # calls that may wait for a round; joins, leaves and lists pass the bound, sums do not
 SEALS_KEPT = 4096  # marks whose time of order is remembered
-FACTS_MOST = 200_000  # servers the guard remembers, those gone among them
+FACTS_MOST = 200_000  # servers remembered, those gone among them: past it the gone are forgotten
 IDLE = 1 * S  # a turn at least so often
 
 Line = tuple[str, str, float]  # server, its zone, weight
@@ -98,8 +98,7 @@
         self.sums = Sums(settings.report_lines, settings.report_period)
         self.proxies: dict[Any, _Joined] = {}
         self.list: dict[str, Entry] = {}
-        self.zones: dict[str, str] = {}
-        self.facts: dict[str, Fact] = {}  # what the list says of each server, for the guard
+        self.facts: dict[str, Fact] = {}  # what the list says, or last said, of each server
         self.reviewed = now
         self.barred: frozenset[str] = frozenset()  # servers listed as draining, or gone where gone binds
         self.calls: list[Call] = []
@@ -151,14 +150,13 @@
         """A load report of a proxy; one that is not joined is not heard."""
         joined = self.proxies.get(proxy)
         if joined is not None:
-            self.sums.add(proxy, joined.zone, report, self.zones, now)
+            self.sums.add(proxy, joined.zone, report, self.facts, now)
 
     def listed(self, news: News) -> None:
         """A good list brought these entries."""
         barred = set(self.barred)
         for entry in news.entries:
             server, zone, state = entry[0], entry[1], entry[4]
-            self.zones[server] = zone
             if state == "gone":
                 self.list.pop(server, None)
             else:
@@ -168,6 +166,8 @@
                 self.facts = {n: f for n, f in self.facts.items() if f.state != "gone"}
             binds = state == "draining" or (state == "gone" and self.set.gone_binds)
             (barred.add if binds else barred.discard)(server)
+        if len(barred) > FACTS_MOST:
+            barred &= self.facts.keys()
         self.barred = frozenset(barred)
         self.calls.append(("listed", (news.scope, list(news.entries))))
 
@@ -262,10 +262,13 @@
             if self.gate and number in self.gate.allowed:
                 open_, most = self.gate.allowed[number]
                 levels = [(min(level, most), tries) for level, tries in levels]
-            lines = tuple((s, self.zones.get(s, ""), w) for s, w in sorted(open_.items()))
+            lines = tuple((s, self._zone(s), w) for s, w in sorted(open_.items()))
             kept = self.contents[number] = (table.revision, Content(lines, tuple(levels)))
         return kept[1]
 
+    def _zone(self, server: str) -> str:
+        return self.facts[server].zone if server in self.facts else ""
+
     def _review(self, touched: Collection[int], now: int) -> None:
         """Let the guard see all tables; what it changes by itself goes out by the channel like an order."""
         assert self.gate is not None
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -349,3 +349,14 @@
     events = [e for t in play(core, 2 * S, 1) for e in t.events]
     assert lines(core) == {}
     assert [f["done"] for name, f in events if name == "guard"][:1] == ["warned"]
+
+
+def test_servers_that_are_gone_are_forgotten_past_the_bound(core, monkeypatch):
+    """A fleet whose addresses change with every deploy must not fill the memory."""
+    monkeypatch.setattr("swiftchute.planner.core.FACTS_MOST", 10)
+    for k in range(50):
+        core.listed(news(f"n{k}:1", scope="changes"))
+        core.listed(news(f"n{k}:1", scope="changes", state="gone"))
+    assert len(core.facts) <= 11
+    assert len(core.barred) <= 11
+    assert core.facts["a:1"].state == "ready"
