Look at each resource once when checking whether all is held

Profiled again, the check whether a client holds all that is wanted looked at each table once for every operation and level, line by line.

It goes level by level with each resource once, and compares lines as whole dicts.

--- a/swiftchute/xds/stream.py
+++ b/swiftchute/xds/stream.py
@@ -362,7 +362,7 @@
         whole = not self.delta and kind.url in names.WHOLE
         if whole and not bound:
             return None  # an empty whole state would tell the client that nothing exists
-        changed = {n for n, r in chosen.items() if not self._at(kind, r)}
+        changed = {n for n, r in chosen.items() - kind.held.items() if not self._at(kind, r)}
         owed = kind.owed & chosen.keys() if not kind.owed_all else set(chosen)
         if kind.apart & changed:
             changed, owed = {min(kind.apart & changed)}, set()
@@ -407,21 +407,32 @@
         held = kind.held.get(wanted.name)
         return held is wanted or (held is not None and held.version == wanted.version)
 
-    def _holds(self, ref: tuple[str, str], at_wanted: bool) -> bool:
-        """Whether the client has acknowledged a resource that another names, and all that it names in
-        turn."""
+    def _reached(self, refs: set[tuple[str, str]], at_wanted: bool) -> bool:
+        """Whether the client has acknowledged these resources and all that they name in turn, each
+        looked at once."""
         assert self.wanted is not None
-        url, name = ref
-        kind, wanted = self.kinds[url], self.wanted[url]
-        if url == names.LEDS:
-            lines = self.wanted.lines(name)
-            if not at_wanted:  # one line is enough for a route to be of use
-                return name in kind.names and not kind.held.keys().isdisjoint(lines)
-            return name in kind.names and all(self._at(kind, line) for line in lines.values())
-        held = kind.held.get(name)
-        if held is None or (at_wanted and name in wanted and not self._at(kind, wanted[name])):
-            return False
-        return all(self._holds(r, at_wanted) for r in (wanted.get(name) or held).refs)
+        while refs:
+            below: set[tuple[str, str]] = set()
+            for url, name in refs:
+                kind, wanted = self.kinds[url], self.wanted[url].get(name)
+                if url == names.LEDS:
+                    if name not in kind.names or not self._holds_lines(
+                        kind, self.wanted.lines(name), at_wanted
+                    ):
+                        return False
+                    continue
+                held = kind.held.get(name)
+                if held is None or (at_wanted and wanted is not None and not self._at(kind, wanted)):
+                    return False
+                below.update((wanted or held).refs)
+            refs = below
+        return True
+
+    def _holds_lines(self, kind: _Kind, lines: dict[str, Resource], at_wanted: bool) -> bool:
+        if not at_wanted:  # one line is enough for a route to be of use
+            return not kind.held.keys().isdisjoint(lines)
+        # as a rule they are the very same objects; those told at a reconnect are compared by version
+        return lines.items() <= kind.held.items() or all(self._at(kind, line) for line in lines.values())
 
     def _ready(self) -> bool:
         """Whether new routes may go out: all that they name is held, where the client takes clusters unasked.
@@ -432,7 +443,7 @@
         assert self.wanted is not None
         if not self.kinds[names.CDS].wild:
             return True
-        return all(self._holds(ref, False) for route in self.wanted[names.RDS].values() for ref in route.refs)
+        return self._reached({ref for route in self.wanted[names.RDS].values() for ref in route.refs}, False)
 
     def _settled(self) -> bool:
         """Whether all that is wanted is held, from the listeners down."""
@@ -442,10 +453,5 @@
         listeners = self.wanted[names.LDS]
         if not listeners:
             return True
-        asked = list(self._wanted_names(self.kinds[names.LDS]))
-        refs = {(names.LDS, n) for n in asked}
-        while refs:  # level by level, as operations share tables
-            if not all(self._holds(ref, True) for ref in refs):
-                return False
-            refs = {r for url, n in refs if url != names.LEDS for r in self.wanted[url][n].refs}
-        return bool(asked)
+        asked = {(names.LDS, name) for name in self._wanted_names(self.kinds[names.LDS])}
+        return bool(asked) and self._reached(asked, True)
