Tell of what is dropped past a bound; take out two fields nobody reads

Sums and calls dropped, and connections closed unread, were counted and told to nobody. The planner's log has them now, once in ten seconds at most. Result.notes and Config.weights were read nowhere (the list's weights are in Settings).

--- a/swiftchute/config/schema.py
+++ b/swiftchute/config/schema.py
@@ -229,7 +229,6 @@
     seed: int
     list_kind: str  # "file" or "http"
     list: dict[str, Any]
-    weights: str
     xds: dict[str, Any]
     guard: dict[str, Any]
     log_level: str
@@ -366,7 +365,6 @@
             values["service"]["seed"],
             kind,
             asked,
-            asked["weights"],
             values["xds"],
             values["guard"],
             values["log"]["level"],
--- a/swiftchute/daemon/service.py
+++ b/swiftchute/daemon/service.py
@@ -48,6 +48,7 @@
         self.registry = Registry(config.settings.zones, time.time_ns() - now)
         self.shell = Shell(self.front, config.settings, xds, self.kick, self.clock, log)
         self.stop, self.fault = asyncio.Event(), None
+        self.past, self.tell_past = dict.fromkeys(("sums", "calls", "connections"), 0), 0
         self.handle: asyncio.TimerHandle | None = None
         self.at = 0
         self.address: tuple[str, int] | None = None
@@ -106,7 +107,20 @@
             raise
         self._plan(max(self.core.due, self.clock() + 1_000_000))
 
+    def _past_bounds(self) -> dict[str, int]:
+        """What was dropped or turned away past a bound, since the start."""
+        server = self.shell.server
+        return {
+            "sums": self.core.sums.lost,
+            "calls": self.core.counts["calls_lost"],
+            "connections": server.turned_away if server else 0,
+        }
+
     def _events(self, out: Out) -> None:
+        now = self._past_bounds()
+        if now != self.past and self.clock() >= self.tell_past:  # told at most once in ten seconds
+            self.past, self.tell_past = now, self.clock() + 10 * S
+            self.log.warning("past a bound", **now)
         for event, fields in out.events:
             if event == "mode":
                 fields = mode_fields(fields["text"])
--- a/swiftchute/drill/day.py
+++ b/swiftchute/drill/day.py
@@ -17,7 +17,7 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 from swiftchute.config import load
@@ -173,7 +173,6 @@
     changed: list[str]
     fell: list[str]
     lost: int = 0
-    notes: list[str] = field(default_factory=list)
 
 
 class Runner:
