Tables in versions with a history and ways back; marks of held rounds are answered

When a table goes wrong the users want to know what changed and to go back. What goes out of the guard is now a version: a canonical form (docs/formats/tables.md), a digest for a name, an entry with parent, time, cause and planner. tables/ holds form, deltas that apply only to the version they name, a bounded history, who holds what, pins, and versions that many proxies reject, which are taken back. swiftchute tables log, show, diff, rollback, pin and release speak to a running planner; a rollback is a wanted state with an end, judged by the guard.

--- a/benchmarks/taps.py
+++ b/benchmarks/taps.py
@@ -88,7 +88,7 @@
         were = {number: dict(t.lines) for number, t in core.orders.tables.items()}
         turn = core.turn(now)
         for proxy, _ in turn.pushes:  # as if each were acknowledged at once
-            core.settled(proxy)
+            core.settled(proxy, now)
         core.timers = []  # the recording wakes it
         moved = sum(t.revision for t in core.orders.tables.values()) != sums
         self.pushes += moved
--- a/swiftchute/cli/main.py
+++ b/swiftchute/cli/main.py
@@ -218,3 +218,111 @@
             click.echo(f"  refused too often: new orders wait {row['waits']} s more")
     for rule, count in sorted(answer["counts"].items()):
         click.echo(f"since the start: {rule} {count}")
+
+
+@main.group()
+def tables() -> None:
+    """Versions of a running planner's tables, and ways back to them.
+
+    A VERSION is the beginning of its name, `#12` for an entry of the log, or `~1` for the one before the
+    newest.
+    """
+
+
+_CONFIG = click.argument("config", type=click.Path())
+_SECONDS = click.option(
+    "--for", "seconds", default=600.0, show_default=True, help="Seconds until it ends by itself."
+)
+_LEVELS = click.option(
+    "--levels", is_flag=True, help="Hold its levels and tries too; else they follow the load."
+)
+
+
+def _row(change: dict[str, Any]) -> str:
+    import time
+
+    at = time.strftime("%H:%M:%S", time.localtime(change["at"]))
+    held = f"held by {change['acknowledged']}" + (
+        f", under way to {change['under_way']}" if change["under_way"] else ""
+    )
+    return (
+        f"{at}  {change['table']:6} #{change['serial']:<5} {change['version'][:12]}  {change['cause']:9}"
+        f" +{change['put']} -{change['gone']}  {held}"
+    )
+
+
+@tables.command("log")
+@_CONFIG
+@click.option("--table", help="One table by its name.")
+@click.option("--most", default=20, show_default=True, help="Entries, newest first.")
+def tables_log(config: str, table: str | None, most: int) -> None:
+    """What changed, when and why, and how many proxies hold it."""
+    for change in _asked(config, "tables.log", table=table, most=most):
+        click.echo(_row(change))
+
+
+@tables.command("show")
+@_CONFIG
+@click.argument("table")
+@click.argument("version", default="~0")
+def tables_show(config: str, table: str, version: str) -> None:
+    """A version's lines and levels; beside a pinned table, what the module orders."""
+    found = _asked(config, "tables.show", table=table, version=version)
+    click.echo(_row(found))
+    if found["pinned"]:
+        pin = found["pinned"]
+        click.echo(f"held at {pin['version'][:12]} ({pin['cause']}) for {pin['seconds']} s more")
+    for op, level, tries in found["levels"]:
+        click.echo(f"  {op}: level {level:g}, further tries {tries}")
+    for server, zone, weight in found["lines"]:
+        ordered = found["ordered"].get(server)
+        beside = f", ordered {ordered:g}" if ordered is not None else ", not ordered"
+        click.echo(f"  {server} {zone}: {weight:g}{beside if found['newest'] and ordered != weight else ''}")
+
+
+@tables.command("diff")
+@_CONFIG
+@click.argument("table")
+@click.argument("before", default="~1")
+@click.argument("after", default="~0")
+def tables_diff(config: str, table: str, before: str, after: str) -> None:
+    """What changed from one version to another."""
+    found = _asked(config, "tables.diff", table=table, before=before, after=after)
+    click.echo(f"{found['before'][:12]} -> {found['after'][:12]}: {found['bytes']} bytes of {found['whole']}")
+    for server, was, now in sorted(found["lines"]):
+        click.echo(
+            f"  {server}: {'none' if was is None else f'{was:g}'} -> {'none' if now is None else f'{now:g}'}"
+        )
+    if found["levels"]:
+        click.echo(f"  levels {found['levels']['before']} -> {found['levels']['after']}")
+
+
+@tables.command("rollback")
+@_CONFIG
+@click.argument("table")
+@click.argument("version", default="~1")
+@_SECONDS
+@_LEVELS
+def tables_rollback(config: str, table: str, version: str, seconds: float, levels: bool) -> None:
+    """Hold a table at an earlier version for a while; drained servers do not come back."""
+    asked = {"table": table, "version": version, "seconds": seconds, "levels": levels}
+    click.echo("going back to " + _row(_asked(config, "tables.rollback", **asked)))
+
+
+@tables.command("pin")
+@_CONFIG
+@click.argument("table")
+@_SECONDS
+@_LEVELS
+def tables_pin(config: str, table: str, seconds: float, levels: bool) -> None:
+    """Hold a table as it is for a while."""
+    click.echo("held at " + _row(_asked(config, "tables.pin", table=table, seconds=seconds, levels=levels)))
+
+
+@tables.command("release")
+@_CONFIG
+@click.argument("table")
+def tables_release(config: str, table: str) -> None:
+    """Let the module's orders count again for a table."""
+    _asked(config, "tables.release", table=table)
+    click.echo(f"released {table}")
--- a/swiftchute/config/schema.py
+++ b/swiftchute/config/schema.py
@@ -198,9 +198,17 @@
         "cold_part": (number(0.05, 1), 0.6, None),
         "pool_most": (number(1, 100), 2.0, None),
         "step_part": (number(0.01, 1), 0.6, None),
-        "channel_part": (number(0.05, 1), 0.8, None),
+        "channel_part": (number(0.05, 1), 0.7, None),
         "step_window": (span(100 * _MS, 60 * _S), 2 * _S, None),
     },
+    "tables": {
+        "most": (number(32, 100_000, True), 1000, None),
+        "age": (span(_S), 3600 * _S, None),
+        "rejected_part": (number(0.01, 1), 0.3, None),
+        "back_most": (number(0, 100, True), 3, None),
+        "back_within": (span(_S), 600 * _S, None),
+        "back_for": (span(_S), 300 * _S, None),
+    },
     "control": {"socket": (path, None, None)},
     "log": {"level": (one_of("debug", "info", "warning", "error"), "info", None)},
 }
@@ -236,6 +244,7 @@
     list: dict[str, Any]
     xds: dict[str, Any]
     guard: dict[str, Any]
+    tables: dict[str, Any]
     control: str | None
     log_level: str
 
@@ -373,6 +382,7 @@
             asked,
             values["xds"],
             values["guard"],
+            values["tables"],
             values["control"]["socket"],
             values["log"]["level"],
         )
--- /dev/null
+++ b/swiftchute/daemon/commands.py
@@ -0,0 +1,139 @@
+"""What staff may ask of a running planner, by command: plain data in and out. Decides nothing."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from swiftchute.control.shell import Denied
+from swiftchute.planner.core import Core
+from swiftchute.tables import form
+from swiftchute.tables.history import Change, Unknown
+from swiftchute.tables.pins import Impossible
+
+S = 1_000_000_000
+MOST = 1000  # rows of an answer
+PIN_MOST = 24 * 3600  # seconds
+
+
+class Commands:
+    """The commands on one planner's core; `done` is called once something was changed."""
+
+    def __init__(self, core: Core, clock: Callable[[], int], done: Callable[[], None]) -> None:
+        """`clock` is the core's."""
+        self.core, self.clock, self.done = core, clock, done
+
+    def all(self) -> dict[str, Callable[..., Any]]:
+        """By name, as requests give them."""
+        named = {"guard.explain": self.explain, "tables.log": self.log, "tables.show": self.show}
+        named |= {"tables.diff": self.diff, "tables.rollback": self.rollback, "tables.pin": self.pin}
+        return {
+            name: self._told(command) for name, command in (named | {"tables.release": self.release}).items()
+        }
+
+    @staticmethod
+    def _told(command: Callable[..., Any]) -> Callable[..., Any]:
+        def run(**given: Any) -> Any:
+            try:
+                return command(**given)
+            except (Unknown, Impossible) as why:
+                raise Denied(str(why)) from None
+
+        return run
+
+    def explain(self, table: str | None = None) -> dict[str, Any]:
+        """Why tables go out as they do."""
+        gate = self.core.gate
+        if gate is None:
+            raise Denied("the guard is off")
+        tables = self.core.explain(self.clock())
+        if table is not None and table not in (names := [row["table"] for row in tables]):
+            raise Denied(f"no table {table!r} in use; there are {', '.join(names) or 'none'}")
+        return {
+            "enforced": gate.enforce,
+            "tables": [row for row in tables if table in (None, row["table"])],
+            "counts": gate.counts,
+        }
+
+    def _change(self, change: Change) -> dict[str, Any]:
+        held, way = self.core.sent.states(change.table).get(change.version, (0, 0))
+        newest = self.core.history.current(change.table)
+        return {
+            "table": change.table,
+            "serial": change.serial,
+            "version": change.version.hex(),
+            "parent": change.parent.hex() if change.parent else None,
+            "at": time.time() + (change.at - self.clock()) / S,
+            "cause": change.cause,
+            "planner": change.planner,
+            "put": change.put,
+            "gone": change.gone,
+            "newest": newest == change,
+            "acknowledged": held,
+            "under_way": way,
+        }
+
+    def log(self, table: str | None = None, most: int = 20) -> list[dict[str, Any]]:
+        """The last changes, newest first."""
+        return [self._change(change) for change in self.core.history.log(table, min(int(most), MOST))]
+
+    def _kept(self, table: str, version: str) -> tuple[Change, form.Table]:
+        change = self.core.history.find(table, version)
+        content = self.core.history.get(change.version)
+        if content is None:
+            raise Denied(f"version {change.version.hex()[:12]} is no longer kept")
+        return change, content
+
+    def show(self, table: str, version: str = "~0") -> dict[str, Any]:
+        """One version: its lines and levels, who holds it, and what the module orders beside a pinned one."""
+        change, content = self._kept(table, version)
+        pin = self.core.pins.by.get(table)
+        return self._change(change) | {
+            "levels": [[op, millionths / form.MILLION, tries] for op, millionths, tries in content.levels],
+            "lines": [[server, zone, units / form.UNIT] for server, zone, units in content.lines],
+            "pinned": None if pin is None else {
+                "version": pin.change.version.hex(), "cause": pin.cause, "levels": pin.levels,
+                "seconds": round((pin.until - self.clock()) / S, 1),
+            },
+            "ordered": self.core.ordered_lines(table),
+        }  # fmt: skip
+
+    def diff(self, table: str, before: str, after: str) -> dict[str, Any]:
+        """What changed from one version to another."""
+        (one, old), (two, new) = self._kept(table, before), self._kept(table, after)
+        step, was = form.diff(old, new), {line[0]: line for line in old.lines}
+        return {
+            "before": one.version.hex(),
+            "after": two.version.hex(),
+            "lines": [
+                [server, was[server][2] / form.UNIT if server in was else None, units / form.UNIT]
+                for server, _, units in step.put
+            ]
+            + [[server, was[server][2] / form.UNIT, None] for server in step.gone],
+            "levels": None if step.levels is None else {"before": old.levels, "after": new.levels},
+            "bytes": len(form.encode(step)),
+            "whole": len(form.encode(new)),
+        }
+
+    def rollback(
+        self, table: str, version: str = "~1", seconds: float = 600, levels: bool = False
+    ) -> dict[str, Any]:
+        """Hold a table at an earlier version for a while."""
+        return self._pin(table, version, seconds, levels, "rollback")
+
+    def pin(
+        self, table: str, version: str = "~0", seconds: float = 600, levels: bool = False
+    ) -> dict[str, Any]:
+        """Hold a table at the version it has."""
+        return self._pin(table, version, seconds, levels, "pin")
+
+    def _pin(self, table: str, version: str, seconds: float, levels: bool, cause: str) -> dict[str, Any]:
+        if not 1 <= seconds <= PIN_MOST:
+            raise Denied(f"{seconds} s: a pin lasts 1 to {PIN_MOST} s")
+        change = self.core.pin(table, version, int(seconds * S), bool(levels), cause, self.clock())
+        self.done()
+        return self._change(change)
+
+    def release(self, table: str) -> None:
+        """The module's orders count again."""
+        self.core.release(table, self.clock())
+        self.done()
--- a/swiftchute/daemon/service.py
+++ b/swiftchute/daemon/service.py
@@ -6,10 +6,11 @@
 from typing import Any
 
 from swiftchute.config import Config
-from swiftchute.control.shell import Control, Denied
+from swiftchute.control.shell import Control
+from swiftchute.daemon.commands import Commands
 from swiftchute.guard.guard import Rules
 from swiftchute.observe.log import mode_fields
-from swiftchute.planner.core import Core
+from swiftchute.planner.core import Core, Keep
 from swiftchute.policy import Planner
 from swiftchute.registry.lists import BadList, Registry
 from swiftchute.registry.sources import FileSource, HttpSource
@@ -20,7 +21,7 @@
 ROUND = 5_000_000  # what comes in within so long makes one round, as in the bench's rounds
 _WARN = (
     "module fault", "module waits", "table refused", "proxy silent", "channel full", "stood still", "guard",
-    "table held", "table waits", "order mended",
+    "table held", "table waits", "order mended", "table pinned", "table released", "not taken back",
 )  # fmt: skip
 
 
@@ -39,7 +40,9 @@
         mode = config.guard["mode"]
         of = {key: value for key, value in config.guard.items() if key != "mode"}
         rules = Rules(**of | {"warn": frozenset(of["warn"])}) if mode != "off" else None
-        self.core = Core(config.settings, config.seed, make, now, rules, mode == "enforce")
+        self.core = Core(
+            config.settings, config.seed, make, now, rules, mode == "enforce", Keep(**config.tables)
+        )
         xds, life = config.xds, int(time.time() * 1000)
         self.front = Front(
             self.core,
@@ -52,7 +55,8 @@
         )
         self.registry = Registry(config.settings.zones, time.time_ns() - now)
         self.shell = Shell(self.front, config.settings, xds, self.kick, self.clock, log)
-        self.control = Control(config.control, {"guard.explain": self._explain}) if config.control else None
+        commands = Commands(self.core, self.clock, self.kick).all()
+        self.control = Control(config.control, commands) if config.control else None
         self.stop, self.fault = asyncio.Event(), None
         self.past, self.tell_past = dict.fromkeys(("sums", "calls", "connections"), 0), 0
         self.handle: asyncio.TimerHandle | None = None
@@ -113,20 +117,6 @@
             raise
         self._plan(max(self.core.due, self.clock() + 1_000_000))
 
-    def _explain(self, table: str | None = None) -> dict[str, Any]:
-        """For `swiftchute guard explain`."""
-        gate = self.core.gate
-        if gate is None:
-            raise Denied("the guard is off")
-        tables = self.core.explain(self.clock())
-        if table is not None and table not in (names := [row["table"] for row in tables]):
-            raise Denied(f"no table {table!r} in use; there are {', '.join(names) or 'none'}")
-        return {
-            "enforced": gate.enforce,
-            "tables": [row for row in tables if table in (None, row["table"])],
-            "counts": gate.counts,
-        }
-
     def _past_bounds(self) -> dict[str, int]:
         """What was dropped or turned away past a bound, since the start."""
         server = self.shell.server
--- a/swiftchute/guard/gate.py
+++ b/swiftchute/guard/gate.py
@@ -67,11 +67,15 @@
         known: Known,
         now: int,
         news: int = 0,
+        urgent: Collection[int] = (),
     ) -> list[int]:
         """Judge all tables; returns those nobody ordered to change whose allowed content did.
 
-        `touched`: tables that were ordered to change; `news` counts changes of the list.
+        `touched`: tables that were ordered to change; `news` counts changes of the list; `urgent`: touched by
+        staff, who do not wait.
         """
+        for number in urgent:
+            self.waits.pop(number, None)
         waiting = {t for t, w in self.waits.items() if now < w.until and t in self.allowed and t in proposed}
         self.held = waiting & set(touched)
         if touched and waiting.issuperset(touched) and news == self.news:
@@ -80,7 +84,7 @@
         self.news = news
         full = {t: table.spent for t, table in proposed.items() if t in self.allowed and self._full(table)}
         if self.enforce and "full channel" not in self.guard.rules.warn:
-            waiting |= full.keys()
+            waiting |= full.keys() - set(urgent)
             self.held = waiting & set(touched)
         asked = {
             number: replace(table, lines=self.allowed[number][0]) if number in waiting else table
--- a/swiftchute/guard/guard.py
+++ b/swiftchute/guard/guard.py
@@ -61,7 +61,7 @@
     pool_most: float = 2.0
     step_part: float = 0.6
     step_window: int = 2_000_000_000
-    channel_part: float = 0.8
+    channel_part: float = 0.7
 
 
 @dataclass(frozen=True)
--- a/swiftchute/planner/channel.py
+++ b/swiftchute/planner/channel.py
@@ -93,9 +93,10 @@
             sent.popleft()
         return not self.messages or not sent or len(sent) < self.messages
 
-    def spent(self, proxies: Iterable[Any], now: int) -> float:
-        """The part of the rule on the queue that is used up: of its lines, or of these proxies' messages."""
-        used = self.lines / self.limit
+    def spent(self, proxies: Iterable[Any], within: int, now: int) -> float:
+        """The part of the rule on the queue that is used up: of its lines, of what leaves `within` so long (a
+        drain waits behind it), or of these proxies' messages."""
+        used = self.lines / min(self.limit, self.pace * within / S)
         for proxy in proxies if self.messages else ():
             sent = self.written.get(proxy)
             if sent and not self._allowed(proxy, now):
--- a/swiftchute/planner/core.py
+++ b/swiftchute/planner/core.py
@@ -26,9 +26,12 @@
 from swiftchute.interface import Call, Decider, Entry, Settings
 from swiftchute.planner.channel import Channel
 from swiftchute.planner.orders import Orders, Round
-from swiftchute.planner.sent import Sent
 from swiftchute.planner.sums import Report, Sums
 from swiftchute.registry.lists import News
+from swiftchute.tables import form
+from swiftchute.tables.history import Change, History, Unknown
+from swiftchute.tables.pins import Impossible, Pin, Pins, Rejected
+from swiftchute.tables.sent import Sent
 
 S = 1_000_000_000
 STALL = 2 * S  # a turn that comes so much later than it was due: this planner stood still
@@ -52,6 +55,7 @@
 
     lines: tuple[Line, ...]
     levels: tuple[tuple[float, int], ...]
+    version: bytes = field(default=b"", compare=False)  # the name of its canonical form
 
 
 @dataclass(frozen=True)
@@ -79,6 +83,18 @@
     carried: Holding | None = None  # what it held of a module that failed
 
 
+@dataclass(frozen=True)
+class Keep:
+    """How much history is kept, and when a version that proxies reject is taken back."""
+
+    most: int = 1000
+    age: int = 3600 * S
+    rejected_part: float = 0.3
+    back_most: int = 3
+    back_within: int = 600 * S
+    back_for: int = 300 * S
+
+
 class Core:
     """The state of one planner's life."""
 
@@ -90,10 +106,15 @@
         now: int = 0,
         guard: Rules | None = None,
         enforce: bool = True,
+        tables: Keep | None = None,
     ) -> None:
         """`make` builds the module, anew after each of its faults; without `guard` tables go out as
         ordered."""
         self.rules, self.enforce = guard, enforce
+        tables = self.keep = tables or Keep()
+        self.history = History(str(settings.planner), tables.most, tables.age)
+        self.sent, self.pins = Sent(self.history), Pins()
+        self.rejected = Rejected(tables.rejected_part, tables.back_most, tables.back_within)
         self.set, self.make, self.random = settings, make, random.Random(seed)
         self.planner: Decider | None = make(settings, seed)
         self.sums = Sums(settings.report_lines, settings.report_period)
@@ -101,7 +122,7 @@
         self.list: dict[str, Entry] = {}
         self.facts: dict[str, Fact] = {}  # what the list says, or last said, of each server
         self.reviewed = now
-        self.news = 0  # lists that brought something
+        self.news = self.judged = 0  # lists that brought something, and those that the module was told of
         self.barred: frozenset[str] = frozenset()  # servers listed as draining, or gone where gone binds
         self.calls: list[Call] = []
         self.timers: list[tuple[int, int]] = []
@@ -116,7 +137,11 @@
         s = self.set
         self.orders = Orders(s, lenient=self.rules is not None and self.enforce)
         self.gate = Gate(s, self.rules, self.enforce, self.random.getrandbits(32)) if self.rules else None
-        self.seen, self.sent = Seen(), Sent()
+        for proxy in list(self.sent.by):  # those of a module that failed are bound to nothing
+            self.sent.left(proxy)
+        self.seen = Seen()
+        self.marks: dict[Any, int] = {}  # by proxy, the newest mark of a round that was held back
+        self.why: dict[int, str] = {}  # by table, the cause of its next version
         self.channel = Channel(
             s.channel_pace, s.channel_limit, s.message_lines, s.message_limit, s.message_window
         )
@@ -142,6 +167,7 @@
             self.orders.left(proxy)
             self.channel.left(proxy)
             self.sent.left(proxy)
+            self.marks.pop(proxy, None)
             self.sums.left(proxy)
             self.calls.append(("left", (proxy,)))
 
@@ -149,9 +175,11 @@
         """A proxy has acknowledged all that belongs to a mark and to those before it."""
         self._sum(("applied", (proxy, seal, now - self.ordered.get(seal, now))))
 
-    def settled(self, proxy: Any) -> None:
+    def settled(self, proxy: Any, now: int) -> None:
         """A proxy holds all that was pushed to it."""
         self.sent.settled(proxy)
+        if proxy in self.marks and self.proxies[proxy].seal is None:
+            self.applied(proxy, self.marks.pop(proxy), now)
 
     def heard(self, proxy: Any, report: Report, now: int) -> None:
         """A load report of a proxy; one that is not joined is not heard."""
@@ -191,7 +219,9 @@
     def due(self) -> int:
         """When the next turn is due."""
         times = [self.turned + IDLE, *(when for when, _ in self.timers)]
-        more = (self.channel.due, self.sums.due, self.asleep, self.gate.due if self.gate else None)
+        more = (
+            self.channel.due, self.sums.due, self.asleep, self.pins.due, self.gate.due if self.gate else None,
+        )  # fmt: skip
         return min(times + [t for t in more if t is not None])
 
     def turn(self, now: int) -> Turn:
@@ -210,6 +240,7 @@
             self._sum(call)
         if self.calls and self.planner is not None:
             self._round(now)
+        self._end_pins(now)
         if self.gate and self._to_review(now):
             self._review((), now)
         for proxy, _ in self.channel.take(now):
@@ -248,17 +279,21 @@
         self.timers += [(now + wait, token) for wait, token in done.timers]
         if done.tables or done.withdrawals:
             self.holdings.clear()
+        for number in done.tables if self.news != self.judged else ():
+            self.why.setdefault(number, "list")
+        self.judged = self.news
         if done.bad:
             self.event("order mended", rule="bad weight", lines=[list(b) for b in done.bad[:8]])
         if self.gate and (done.tables or done.withdrawals or done.bound):
             self._review(done.tables, now)
-            self._hold(done)
+            self._hold(done, now)
         if done.seal is not None:
             self.ordered[done.seal] = now
             while len(self.ordered) > SEALS_KEPT:
                 del self.ordered[next(iter(self.ordered))]
             for proxy in done.lines:
                 self.proxies[proxy].seal = done.seal
+                self.marks.pop(proxy, None)  # the newer mark answers for it
         self.out.refused += self.channel.put(done.lines, now)
         if self.out.refused:
             self.event(
@@ -280,14 +315,43 @@
             if self.gate and number in self.gate.allowed:
                 open_, most = self.gate.allowed[number]
                 levels = [(min(level, most), tries) for level, tries in levels]
+            elif (pinned := self._pinned(number)) is not None:
+                open_ = pinned
+            held = self.pins.levels(self.table_name(number))
+            if held:
+                levels = [held.get(op.name, row) for op, row in zip(self.set.operations, levels, strict=True)]
             lines = tuple((s, self._zone(s), w) for s, w in sorted(open_.items()))
-            kept = self.contents[number] = (table.revision, Content(lines, tuple(levels)))
+            rows = [(op.name, *row) for op, row in zip(self.set.operations, levels, strict=True)]
+            made = form.table(rows, lines)
+            self._note(number, made)
+            kept = self.contents[number] = (table.revision, Content(lines, tuple(levels), form.name(made)))
         return kept[1]
 
+    def _note(self, number: int, made: form.Table) -> None:
+        """Keep a version, with its cause: an order's is what it changed."""
+        name = self.table_name(number)
+        newest = self.history.current(name)
+        cause = self.why.pop(number, "")
+        if newest is None:
+            cause = "start"
+        elif cause in ("", "list"):
+            before = self.history.get(newest.version)
+            if before is not None and before.lines == made.lines:
+                cause = "level"
+            cause = cause or "health"
+        self.history.note(name, made, self.turned, cause)
+
+    def _pinned(self, number: int) -> dict[str, float] | None:
+        """The lines that a table is held at, those of open servers."""
+        return self.pins.lines(self.table_name(number), self._ready()) if self.pins.by else None
+
+    def _ready(self) -> frozenset[str]:
+        return frozenset(n for n, f in self.facts.items() if f.state == "ready")
+
     def _zone(self, server: str) -> str:
         return self.facts[server].zone if server in self.facts else ""
 
-    def _review(self, touched: Collection[int], now: int) -> None:
+    def _review(self, touched: Collection[int], now: int, urgent: Collection[int] = ()) -> None:
         """Let the guard see all tables; what it changes by itself goes out by the channel like an order."""
         assert self.gate is not None
         self.reviewed = now
@@ -303,7 +367,8 @@
             min(len(self.proxies) / max(self.set.proxies, 1), 1.0),
         )
         lines: dict[Any, int] = {}
-        for number in self.gate.review(proposed, touched, self.facts, known, now, self.news):
+        for number in self.gate.review(proposed, touched, self.facts, known, now, self.news, urgent):
+            self.why.setdefault(number, "guard")
             self.orders.tables[number].revision += 1
             self.holdings.clear()
             for proxy in self.orders.on.get(number, ()):
@@ -312,7 +377,7 @@
             self.out.refused += self.channel.put(lines, now)
         self.out.events += self.gate.events()
 
-    def _hold(self, done: Round) -> None:
+    def _hold(self, done: Round, now: int) -> None:
         """Take the lines of held tables out of a round: what does not go out is not counted, nor is its
         mark."""
         assert self.gate is not None
@@ -321,18 +386,25 @@
                 left = done.lines.get(proxy, 0) - done.tables[number]
                 if left > (done.seal is not None):
                     done.lines[proxy] = left
-                else:
-                    done.lines.pop(proxy, None)
+                elif done.lines.pop(proxy, None) is not None and done.seal is not None:
+                    self.marks[proxy] = done.seal
+        for proxy in [p for p in self.marks if self.sent.clear(p) and self.proxies[p].seal is None]:
+            self.applied(proxy, self.marks.pop(proxy), now)
+
+    def _proposed(self, number: int) -> dict[str, float]:
+        """The lines that a table is to hold: what is ordered, or what it is held at."""
+        pinned, lines = self._pinned(number), self.orders.tables[number].lines
+        return {s: w for s, w in lines.items() if s not in self.orders.shut} if pinned is None else pinned
 
     def _proposal(self, number: int, cold: frozenset[str], now: int) -> Proposal:
-        table, proxies = self.orders.tables[number], self.orders.on.get(number, {})
+        proxies = self.orders.on.get(number, {})
         bound = [self.orders.proxies[p].bound for p in proxies]
         places = sorted({place for held in bound for place, t in held.items() if t == number})
         operations = [self.set.operations[place] for place in places]
         named = [op.name for op in operations]
         levels = [self.orders.level(number, place)[0] for place in places]
         return Proposal(
-            {s: w for s, w in table.lines.items() if s not in self.orders.shut},
+            self._proposed(number),
             max(levels, default=1.0),
             frozenset(self.orders.proxies[p].zone for p in proxies),
             any(op.own_zone for op in operations),
@@ -340,9 +412,79 @@
             self.sent.pending(proxies, named, cold, lambda p: self.seen.demand((p,), named, now))
             if cold
             else (),
-            self.channel.spent(proxies, now),
+            self.channel.spent(proxies, self.set.drain_grace // 4, now),
         )
 
+    # -- ways back
+
+    def _number(self, name: str) -> int:
+        """The number of a table in use. Raises `Impossible`."""
+        for number in self.orders.tables:
+            if self.table_name(number) == name and self.orders.on.get(number):
+                return number
+        used = ", ".join(self.table_name(n) for n in sorted(self.orders.tables) if self.orders.on.get(n))
+        raise Impossible(f"no proxy is on a table {name!r}; in use are {used or 'none'}")
+
+    def pin(self, name: str, asked: str, span: int, levels: bool, cause: str, now: int) -> Change:
+        """Hold a table at a kept version for so long. Raises `Unknown` or `Impossible`; nothing changes
+        then."""
+        number, change = self._number(name), self.history.find(name, asked)
+        content = self.history.get(change.version)
+        if content is None:
+            raise Impossible(f"version {change.version.hex()[:12]} is no longer kept")
+        self.pins.set(name, Pin(change, content, now + span, levels, cause), self._ready())
+        self.event("table pinned", table=name, version=change.version.hex()[:12], serial=change.serial,
+                   seconds=round(span / S), levels=levels, cause=cause)  # fmt: skip
+        self._again(number, cause, now)
+        return change
+
+    def ordered_lines(self, name: str) -> dict[str, float]:
+        """What the module orders of a table, whatever goes out; empty for one that is not known."""
+        found = (t for number, t in self.orders.tables.items() if self.table_name(number) == name)
+        table = next(found, None)
+        return {} if table is None else dict(table.lines)
+
+    def release(self, name: str, now: int) -> None:
+        """The module's orders count again for a table. Raises `Impossible` if it is not pinned."""
+        self.pins.release(name)
+        self._released(name, "released", now)
+
+    def _released(self, name: str, why: str, now: int) -> None:
+        self.event("table released", table=name, why=why)
+        for number in self.orders.tables:
+            if self.table_name(number) == name:
+                self._again(number, "release", now)
+
+    def _end_pins(self, now: int) -> None:
+        for name, why in self.pins.ended(self._ready(), now) if self.pins.by else ():
+            self._released(name, why, now)
+
+    def _again(self, number: int, cause: str, now: int) -> None:
+        """A table holds something else by no order of the module: judge it and push it, past what waits."""
+        self.why[number] = cause
+        self.orders.tables[number].revision += 1
+        self.holdings.clear()
+        if self.gate:
+            self._review((number,), now, (number,))
+        many = len(self._proposed(number))
+        self.out.refused += self.channel.put(dict.fromkeys(self.orders.on.get(number, ()), many), now)
+
+    def refused(self, proxy: Any, names: Collection[str], now: int) -> None:
+        """A proxy rejects what was pushed of these tables; what many reject is taken back."""
+        for name in names:
+            newest = self.history.current(name)
+            if newest is None or newest.parent is None or proxy not in self.orders.proxies:
+                continue
+            on = [n for n in self.orders.proxies[proxy].bound.values() if self.table_name(n) == name]
+            if not on or name in self.pins.by:
+                continue
+            if self.rejected.by(proxy, name, newest.version, len(self.orders.on[on[0]]), now):
+                try:
+                    parent = newest.parent.hex()
+                    self.pin(name, parent, self.keep.back_for, True, "rollback", now)
+                except (Impossible, Unknown) as why:
+                    self.event("not taken back", table=name, cause=str(why))
+
     def explain(self, now: int) -> list[dict[str, Any]]:
         """By table with proxies on it: what was ordered, what the guard lets out, and why it differs."""
         found = []
--- a/swiftchute/planner/sent.py
+++ b/swiftchute/tables/sent.py
@@ -10,14 +10,18 @@
 from collections.abc import Callable, Collection, Iterable
 from typing import Any, Protocol
 
+from swiftchute.tables.history import History
+
 KEPT = (
     8  # holdings a proxy may have unacknowledged; past it the second oldest goes, as it was overtaken unsent
 )
 
 
 class Content(Protocol):
-    """A table's lines (server, zone, weight) and, by operation, its level and the way of further tries."""
+    """A table's version, its lines (server, zone, weight) and, by operation, its level and the way of further
+    tries."""
 
+    version: bytes
     lines: tuple[tuple[str, str, float], ...]
     levels: tuple[tuple[float, int], ...]
 
@@ -32,27 +36,53 @@
 class Sent:
     """By proxy the acknowledged holding and those pushed since."""
 
-    def __init__(self) -> None:
-        """Nobody was sent anything."""
+    def __init__(self, history: History) -> None:
+        """Nobody was sent anything; `history` keeps the versions that somebody may go by."""
+        self.history = history
         self.by: dict[Any, list[Holding]] = {}
+        self.told: set[Any] = set()  # whose first row is acknowledged
 
     def pushed(self, proxy: Any, holding: Holding) -> None:
         """This is on its way to a proxy."""
         rows = self.by.setdefault(proxy, [])
         if not rows or rows[-1] is not holding:
             rows.append(holding)
+            for content in holding.contents.values():
+                self.history.hold(content.version)
             if len(rows) > KEPT:
-                del rows[1]
+                self._drop(rows.pop(1))
 
     def settled(self, proxy: Any) -> None:
         """The proxy has acknowledged the last that was pushed: what was before it is over."""
         rows = self.by.get(proxy)
-        if rows and len(rows) > 1:
-            del rows[:-1]
+        if rows:
+            self.told.add(proxy)
+            while len(rows) > 1:
+                self._drop(rows.pop(0))
+
+    def clear(self, proxy: Any) -> bool:
+        """Whether a proxy holds all that was pushed to it."""
+        return proxy in self.told and len(self.by[proxy]) == 1
 
     def left(self, proxy: Any) -> None:
         """Its stream is gone; what it goes by now is not this planner's to know."""
-        self.by.pop(proxy, None)
+        self.told.discard(proxy)
+        for holding in self.by.pop(proxy, ()):
+            self._drop(holding)
+
+    def _drop(self, holding: Holding) -> None:
+        for content in holding.contents.values():
+            self.history.drop(content.version)
+
+    def states(self, table: str) -> dict[bytes, tuple[int, int]]:
+        """By version of a table, how many proxies have acknowledged it and to how many it is on its way."""
+        found: dict[bytes, list[int]] = {}
+        for proxy, rows in self.by.items():
+            for place, holding in enumerate(rows):
+                if table in holding.contents:
+                    row = found.setdefault(holding.contents[table].version, [0, 0])
+                    row[0 if place == 0 and proxy in self.told else 1] += 1
+        return {version: (row[0], row[1]) for version, row in found.items()}
 
     def pending(
         self,
--- a/swiftchute/xds/front.py
+++ b/swiftchute/xds/front.py
@@ -139,7 +139,7 @@
             out.replies += [(sid, reply) for reply in replies]
             self._tell(peer, events, now)
             if stream.since is None and stream.wanted is not None:
-                self.core.settled(peer.node)
+                self.core.settled(peer.node, now)
         self.touched.clear()
         out.cuts, self.cuts = self.cuts, []
         return out
@@ -170,6 +170,7 @@
                 self.counts["stale"] += 1
             elif isinstance(event, Refused):
                 self.counts["refused"] += 1
+                self.core.refused(peer.node, names.tables_of(event.names), now)
                 self.core.event(
                     "table refused",
                     proxy=peer.node,
--- a/swiftchute/xds/names.py
+++ b/swiftchute/xds/names.py
@@ -4,6 +4,8 @@
 (xDS protocol page, "Eventual consistency considerations").
 """
 
+from collections.abc import Iterable
+
 PREFIX = "type.googleapis.com/"
 CDS = PREFIX + "envoy.config.cluster.v3.Cluster"
 EDS = PREFIX + "envoy.config.endpoint.v3.ClusterLoadAssignment"
@@ -54,3 +56,9 @@
     """(table, zone, server) of a line's name, or None."""
     parts = name.removeprefix(_COLLECTION).split("/", 2)
     return tuple(parts) if name.startswith(_COLLECTION) and len(parts) == 3 else None
+
+
+def tables_of(refused: Iterable[str]) -> frozenset[str]:
+    """The tables that names of endpoints or lines belong to; other names belong to none."""
+    found = (parts[0] if (parts := line_parts(name)) else name.partition("~")[0] for name in refused)
+    return frozenset(table for table in found if is_table(table))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -14,6 +14,7 @@
 from swiftchute.control import lines, shell
 from swiftchute.control.client import Unanswered, call
 from swiftchute.control.shell import Control, Denied
+from swiftchute.daemon.commands import Commands
 
 COMMANDS = {"add": lambda a, b: a + b, "deny": lambda: (_ for _ in ()).throw(Denied("not today"))}
 
@@ -160,3 +161,43 @@
             }
         },
     )
+
+
+def test_staff_look_at_versions_and_go_back(served, tmp_path, core_with_a_cold_server):
+    core, now, cold = core_with_a_cold_server
+    core.turn(now + 2 * 10**9)
+    kicked = []
+    commands = Commands(core, lambda: now + 3 * 10**9, lambda: kicked.append(1)).all()
+    path = tmp_path / "p.hcl"
+    with open("examples/planner.hcl", encoding="utf-8") as source:
+        path.write_text(source.read().replace("/tmp/swiftchute-planner.sock", served.path))
+
+    async def play(control):
+        async def said(*words, code=0):
+            result = await asyncio.to_thread(
+                CliRunner().invoke, main, ["tables", words[0], str(path), *words[1:]]
+            )
+            assert result.exit_code == code, result.output
+            return result.output
+
+        assert "start" in await said("log")
+        shown = await said("show", "0.1")
+        assert "a east: 1" in shown
+        assert ", ordered 100" in shown  # the cold server's line, capped by the guard
+        assert "held at" in await said("pin", "0.1", "--for", "5")
+        assert "(pin) for 5.0 s more" in await said("show", "0.1")
+        assert "going back to" in await said("rollback", "0.1", "~0", "--levels")
+        assert "(rollback) for 600.0 s more" in await said("show", "0.1")
+        assert "0 -> " not in await said("diff", "0.1", "~0", "~0")
+        assert "released 0.1" in await said("release", "0.1")
+        assert len(kicked) == 3
+        for words, cause in (
+            (("release", "0.1"), "table 0.1 is not pinned"),
+            (("rollback", "0.1", "~7"), "no entry ~7"),
+            (("rollback", "0.9", "~1"), "no proxy is on a table '0.9'; in use are 0.1"),
+            (("pin", "0.1", "--for", "0"), "a pin lasts 1 to 86400 s"),
+            (("show", "0.1", "ffff"), "no kept version"),
+        ):
+            assert cause in await said(*words, code=2)
+
+    served(play, commands)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -12,10 +12,11 @@
 from swiftchute.planner.channel import Channel
 from swiftchute.planner.core import Content, Core, Holding
 from swiftchute.planner.orders import BadOrder, Orders
-from swiftchute.planner.sent import Sent
 from swiftchute.planner.sums import Report, Sums
 from swiftchute.policy import Planner
 from swiftchute.registry.lists import News
+from swiftchute.tables.history import History
+from swiftchute.tables.sent import Sent
 from tests.conftest import FACTS, operation
 
 S = 1_000_000_000
@@ -408,13 +409,18 @@
     assert lines == {"a", "d"}
 
 
-def test_what_is_held_back_counts_as_not_sent_and_its_mark_stays_open(busy):
+def test_what_is_held_back_is_not_sent_and_its_mark_answered_by_what_the_proxy_holds(busy):
+    """Left open, the mark kept room in the module's book, and binds of those that rejoined waited for it."""
     core, decider = busy
     core.channel.written["p"].extend([1001 * S] * 9)  # nearly all that the rule lets through
     before = core.held("p")
     pushes = order(core, decider, 1002 * S, ("line", 1, "a", 5.0), ("line", 2, "a", 5.0), ("mark", 8, False))
     assert pushes == [("q", 8)]
     assert core.held("p").contents == before.contents
+    answered = [("applied", ("p", 8))]
+    assert [(name, some[:2]) for name, some in core.calls if name == "applied"] == []
+    core.settled("p", 1003 * S)
+    assert [(name, some[:2]) for name, some in core.calls if name == "applied"] == answered
 
 
 def test_a_proxy_may_go_by_all_that_it_has_not_acknowledged(busy):
@@ -424,19 +430,19 @@
     def share():
         return core.sent.pending("p", ["read"], cold, lambda proxy: 1.0)
 
-    core.settled("p")
+    core.settled("p", 1001 * S)
     assert share() == ((1.0, {"a": pytest.approx(1 / 3)}),)
     order(core, decider, 1002 * S, ("line", 1, "a", 4.0))
     order(core, decider, 1003 * S, ("line", 1, "a", 1.0))
     assert share() == ((1.0, {"a": pytest.approx(4 / 6)}),)  # the most of what it may hold
-    core.settled("p")
+    core.settled("p", 1001 * S)
     assert share() == ((1.0, {"a": pytest.approx(1 / 3)}),)
     core.left("p")
     assert share() == ()
 
 
 def test_what_waits_for_an_acknowledgement_is_bounded_and_keeps_the_acknowledged():
-    sent = Sent()
+    sent = Sent(History("0"))
     made = [Holding((("read", "t"),), {"t": Content((("a", "east", 1.0),), ())}) for _ in range(30)]
     for holding in made:
         sent.pushed("p", holding)
@@ -455,12 +461,12 @@
         order(core, decider, now)
     core.listed(News("changes", (("c", "east", "", 0, "ready", 1.0, now),), ()))  # 4.5 a second
     order(core, decider, now + S, ("line", 1, "c", 1.2))  # 2.9 of p's 10
-    core.settled("p")
-    core.settled("q")
+    core.settled("p", 1001 * S)
+    core.settled("q", 1001 * S)
     order(core, decider, now + 2 * S, ("line", 1, "c", 0.0), ("line", 2, "c", 1.2))
     assert core.gate.allowed[2][0].get("c", 0.0) < 1.0  # p may still go by its old lines
-    core.settled("p")
-    core.settled("q")
+    core.settled("p", 1001 * S)
+    core.settled("q", 1001 * S)
     core.turn(now + 4 * S)
     core.turn(now + 6 * S)
     assert core.gate.allowed[2][0]["c"] == pytest.approx(1.2)
