--- a/benchmarks/push.py
+++ b/benchmarks/push.py
@@ -327,7 +327,7 @@
 
 async def run(options: argparse.Namespace) -> None:
     """All sizes and forms, then the stalled gateway."""
-    sizes = [int(n) for n in options.gateways.split(",")]
+    sizes = [int(n) for n in options.gateways.split(",") if n]
     found: dict[tuple[str, int], dict] = {}
     head = (
         "form",
--- a/swiftchute/cli/main.py
+++ b/swiftchute/cli/main.py
@@ -129,7 +129,9 @@
             found = [v for v in verdicts if v.broken]
             if case.kind == "broken" and right:
                 found = [v for v in found if v.rule == sabotage.SABOTEURS[case.name][1]]
-            said = "; ".join(f"{v.rule} broken, {v.broken[0]}" for v in found) or "all five rules kept"
+            told = [f"{v.rule} broken, {v.broken[0]}" for v in found]
+            told += [f"replayed orders changed {', '.join(result.changed)}"] if result.changed else []
+            said = "; ".join(told) or "all five rules kept"
             near = ", ".join(f"{v.figure:.2f} of {v.limit:.2f}" for v in verdicts)
             how = "as it should" if right else "WRONG"
             click.echo(f"{how:12} {case.name:15} {case.kind:8} {said} ({near})")
--- a/swiftchute/drill/day.py
+++ b/swiftchute/drill/day.py
@@ -17,10 +17,11 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from swiftchute.config import load
+from swiftchute.control.client import call
 from swiftchute.drill.checker import Evidence, Told
 from swiftchute.observe.log import setup
 from swiftchute.standin.client import Client
@@ -67,6 +68,7 @@
     pace: float = 1500.0
     limit: float = 3000.0
     messages: int = 30
+    decider: str = ""  # in place of the module, as `serve --decider` takes it
     once: float = 0.06  # share of invocations that may take effect once only
 
 
@@ -95,6 +97,15 @@
             _t(44, "cut", 0.5),
         ),
     ),
+    "rollback": Day(
+        "a bad table is published at a drain's news; staff take it back with its levels, seven seconds later",
+        26.0,
+        (_t(3, "note", "before"), _t(6, "note", "bad"), _t(6, "drain", 1), _t(13, "roll_back", "bad", True)),
+        workers=12,
+        gateways=12,
+        rate=6.0,
+        decider="swiftchute.drill.sabotage:Skews",
+    ),
     "quiet": Day("nothing happens", 10.0, ()),
     "half-push": Day(
         "a planner is killed while half of a push is out, and returns while a deploy goes on",
@@ -174,6 +185,7 @@
     changed: list[str]
     fell: list[str]
     lost: int = 0
+    notes: list[str] = field(default_factory=list)  # what troubles have to say of themselves
 
 
 class Runner:
@@ -193,7 +205,10 @@
         `loose` replaces figures in the planners' settings only, so that a planner that does not keep the
         day's limits can be judged by them; `guard` is the mode of their guard."""
         self.guard = guard
-        self.day, self.random, self.folder, self.make, self.say = day, random.Random(seed), folder, make, say
+        self.day, self.random, self.folder, self.say = day, random.Random(seed), folder, say
+        self.make = make or day.decider or None
+        self.noted: dict[str, tuple[float, int, int]] = {}  # a moment: when, invocations ended, succeeded
+        self.notes: list[str] = []
         self.loose = loose or {}
         self.seed, self.host = seed, _own_host()
         self.workers: list[Worker] = []
@@ -297,10 +312,14 @@
                 _block("reports", period="500ms", lines=300),
                 _block('list "file"', path=self.list, every="100ms"),
                 _block("guard", mode=self.guard),
+                _block("control", socket=self._socket(number)),
                 _block("xds", listen=f"{self.host}:{port}", ack_within="10s", read_within="8s"),
             ]
         )
 
+    def _socket(self, number: int) -> str:
+        return os.path.join(self.folder, f"c{number}.sock")
+
     def _share(self, name: str, share: float) -> float:
         """An operation's share of invocations, with the side-effecting one at the day's."""
         once = self.day.once
@@ -422,7 +441,7 @@
             self.dialled,
         )
         fell = [w.address for w in self.workers for _ in w.fell]
-        return Result(evidence, ends, 0, [], fell, sum(r.lost for r in records))
+        return Result(evidence, ends, 0, [], fell, sum(r.lost for r in records), self.notes)
 
     def _replay(self, result: Result) -> None:
         """Deliver every order of the day twice more: nothing may change and no worker may hear of it."""
@@ -491,6 +510,71 @@
             self.tasks.append(asyncio.ensure_future(one(w)))
             await asyncio.sleep(every)
 
+    def note(self, name: str) -> None:
+        """Remember a moment, and how invocations ended until then."""
+        ends = [g.record.ends for g in self.gateways]
+        good = sum(e.get("succeeded", 0) for e in ends)
+        self.noted[name] = (time.time(), sum(sum(e.values()) for e in ends), good)
+
+    def _between(self, one: str, two: str) -> str:
+        (start, all_, good), (end, more, better) = self.noted[one], self.noted[two]
+        many = more - all_
+        return f"{100 * (better - good) / max(many, 1):.1f}% of {many} succeeded in {end - start:.1f} s"
+
+    async def roll_back(self, moment: str, levels: bool) -> None:
+        """Staff take every table back to what it held at a moment, perhaps with its levels; how long until
+        the last ACK."""
+        self.note("order")
+        order, tables = time.monotonic(), 0
+        ways = [self._socket(number) for number in range(self.day.planners)]
+        for way in ways:
+            entries = await asyncio.to_thread(call, way, "tables.log", most=1000)
+            before: dict[str, dict[str, Any]] = {}
+            for entry in entries:  # newest first
+                if entry["at"] < self.noted[moment][0]:
+                    before.setdefault(entry["table"], entry)
+            newest = {entry["table"]: entry for entry in entries if entry["newest"]}
+            for table, entry in before.items():
+                if newest[table]["version"] != entry["version"] and newest[table]["acknowledged"]:
+                    asked = {
+                        "table": table,
+                        "version": f"#{entry['serial']}",
+                        "seconds": 60.0,
+                        "levels": levels,
+                    }
+                    await asyncio.to_thread(call, way, "tables.rollback", **asked)
+                    tables += 1
+        took = time.monotonic() - order
+        while time.monotonic() - order < 10:
+            logs = [await asyncio.to_thread(call, way, "tables.log", most=1000) for way in ways]
+            newest = [
+                entry for log in logs for entry in log if entry["newest"] and entry["cause"] == "rollback"
+            ]
+            old = [
+                e
+                for log in logs
+                for e in log
+                if not e["newest"] and e["acknowledged"] and e["cause"] != "rollback"
+            ]
+            if (
+                len(newest) >= tables
+                and all(e["acknowledged"] and not e["under_way"] for e in newest)
+                and not old
+            ):
+                break
+            await asyncio.sleep(0.05)
+        whole = time.monotonic() - order
+        self.note("back")
+        last = f"{whole:.2f} s to the last ACK" if whole < 10 else "not acknowledged by all within 10 s"
+        self.notes.append(f"{tables} tables taken back: {took:.2f} s to order, {last}")
+        await asyncio.sleep(2)  # what the bad tables left in queues is over
+        self.note("well")
+        await asyncio.sleep(8)
+        self.note("end")
+        spans = (("before", moment), (moment, "order"), ("order", "well"), ("well", "end"))
+        for (one, two), what in zip(spans, ("before", "bad tables", "going back", "after"), strict=True):
+            self.notes.append(f"{what}: {self._between(one, two)}")
+
     async def freeze(self, planner: int, seconds: float) -> None:
         """A planner stands still."""
         since = time.monotonic_ns()
--- a/swiftchute/drill/report.py
+++ b/swiftchute/drill/report.py
@@ -23,6 +23,7 @@
     lines = [v.line for v in verdicts]
     lines.append(f"orders delivered again: {result.replayed}, {changed}")
     lines.append(f"invocations (stand-ins on one machine): {ends}")
+    lines += result.notes
     if result.fell:
         lines.append(f"workers that fell over: {', '.join(result.fell)}")
     if result.lost:
@@ -42,6 +43,7 @@
         "changed": result.changed,
         "fell": result.fell,
         "lost": result.lost,
+        "notes": result.notes,
     }
     with open(path, "wb") as out:
         out.write(msgspec.json.format(msgspec.json.encode(found), indent=2) + b"\n")
--- a/swiftchute/drill/sabotage.py
+++ b/swiftchute/drill/sabotage.py
@@ -146,6 +146,37 @@
         return [(verb, (*arguments[:2], math.nan))]
 
 
+class Skews(Bent):
+    """Once a server drains it gives one server of each table nearly everything, and goes on so."""
+
+    bad = done = False
+
+    def hears(self, name: str, arguments: tuple[Any, ...]) -> Call:
+        """A drain is what sets it off."""
+        self.bad |= name == "listed" and any(entry[4] == "draining" for entry in arguments[1])
+        return name, arguments
+
+    def heavy(self, server: str) -> bool:
+        """Whether a server is to get nearly everything: the first that is ready, by zone."""
+        zone = self.servers[server].zone
+        return server == min(n for n, s in self.servers.items() if s.zone == zone and s.state == "ready")
+
+    def bend(self, verb: str, arguments: tuple[Any, ...]) -> list[tuple[str, tuple[Any, ...]]]:
+        """A heavy line stays heavy."""
+        if self.bad and verb == "line" and arguments[2] and self.heavy(arguments[1]):
+            return [(verb, (*arguments[:2], 500.0))]
+        return [(verb, arguments)]
+
+    def after(self, now: int) -> None:
+        """The bad tables go out at once."""
+        if self.bad and not self.done:
+            self.done = True
+            for tables in self.tables.values():
+                for table in tables:
+                    for n in [n for n in table.sent if n and self.heavy(n)]:
+                        self.passed.line(table.number, n, 500.0)
+
+
 LOST, DRAIN, COLD = "nobody left without a server", "drains kept", "no cold server pushed over"
 _QUIET = replace(DAYS["quiet"], seconds=8.0, workers=9, gateways=6, planners=1)
 # by name: the decider, the rule it breaks, and a day on which it does
@@ -196,4 +227,3 @@
 def outcome(case: Case, seed: int) -> tuple[Case, Result, list[Verdict]]:
     """A case played, for pools of processes."""
     return (case, *case.play(seed))
-
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -51,7 +51,7 @@
 
 def play(rule, kind):
     """One day in a process of its own: a loop shared by all would slow each by the others' load."""
-    if kind in ("sabotage",):
+    if kind == "sabotage":
         return rule.play(7)
     day, make, loose, guard = DAYS.get(rule), None, {}, "enforce"
     if kind == "broken":
@@ -67,7 +67,7 @@
 def played():
     """Each broken planner's day without a guard and under one, and the same days with the module as it is."""
     days = [(rule, "broken") for rule in BROKEN] + [(rule, "kept") for rule in RULES]
-    days += [("half-push", "process")] + [(case, "sabotage") for case in CASES]
+    days += [("half-push", "process"), ("rollback", "process")] + [(case, "sabotage") for case in CASES]
     with ProcessPoolExecutor(10, multiprocessing.get_context("spawn")) as pool:
         return dict(zip(days, pool.map(play, *zip(*days, strict=True)), strict=True))
 
@@ -102,6 +102,14 @@
     )  # all came back to it, and once more after the cut
 
 
+def test_bad_tables_are_taken_back_by_staff_on_running_planners(played):
+    result, verdicts = played["rollback", "process"]
+    assert not broken(result, verdicts), text(result, verdicts)
+    back = result.notes[0]
+    assert "to the last ACK" in back
+    assert not back.startswith("0 ")
+
+
 def test_the_days_hold_what_their_rules_look_at(played):
     """A verdict of a day that holds nothing to look at would say nothing."""
     assert any(t.state == "draining" for t in played["drain", "kept"][0].evidence.told)
