Say of a pinned table that it is held; wait for the right acknowledgements in the rollback drill

Seen on the screens: guard explain gave a wrong reason for the lines of a pinned table, tables diff printed levels as raw lists, and the drill took an earlier entry of the very version that is the newest again for an old one still held.

--- a/swiftchute/cli/main.py
+++ b/swiftchute/cli/main.py
@@ -296,7 +296,12 @@
             f"  {server}: {'none' if was is None else f'{was:g}'} -> {'none' if now is None else f'{now:g}'}"
         )
     if found["levels"]:
-        click.echo(f"  levels {found['levels']['before']} -> {found['levels']['after']}")
+        was = {op: (level, tries) for op, level, tries in found["levels"]["before"]}
+        for op, level, tries in found["levels"]["after"]:
+            before, further = was.get(op, (1e6, tries))
+            click.echo(
+                f"  {op}: level {before / 1e6:g} -> {level / 1e6:g}, further tries {further} -> {tries}"
+            )
 
 
 @tables.command("rollback")
--- a/swiftchute/drill/day.py
+++ b/swiftchute/drill/day.py
@@ -547,20 +547,8 @@
         took = time.monotonic() - order
         while time.monotonic() - order < 10:
             logs = [await asyncio.to_thread(call, way, "tables.log", most=1000) for way in ways]
-            newest = [
-                entry for log in logs for entry in log if entry["newest"] and entry["cause"] == "rollback"
-            ]
-            old = [
-                e
-                for log in logs
-                for e in log
-                if not e["newest"] and e["acknowledged"] and e["cause"] != "rollback"
-            ]
-            if (
-                len(newest) >= tables
-                and all(e["acknowledged"] and not e["under_way"] for e in newest)
-                and not old
-            ):
+            back = [_settled(log) for log in logs]
+            if None not in back and sum(back) >= tables:
                 break
             await asyncio.sleep(0.05)
         whole = time.monotonic() - order
@@ -640,6 +628,16 @@
         client.refuses = lambda kind, name, message: None
 
 
+def _settled(log: list[dict[str, Any]]) -> int | None:
+    """How many tables of a log are taken back, if all proxies acknowledged the newest of each; else None."""
+    newest = {entry["table"]: entry for entry in log if entry["newest"]}
+    for entry in log:  # an earlier entry may be of the very version that is the newest again
+        now = newest[entry["table"]]
+        if now["under_way"] or (entry["acknowledged"] and entry["version"] != now["version"]):
+            return None
+    return sum(entry["cause"] == "rollback" for entry in newest.values())
+
+
 def _block(head: str, **values: Any) -> str:
     """A block of HCL: its plain values are written as JSON's are."""
     return "\n".join(
--- a/swiftchute/guard/gate.py
+++ b/swiftchute/guard/gate.py
@@ -193,15 +193,18 @@
         figures = {"figure": round(refusal.figure, 3), "limit": round(refusal.limit, 3)}
         self._events.append((event, told | figures | {"done": done} | more))
 
-    def explain(self, number: int, ordered: Mapping[str, float], level: float, now: int) -> dict[str, Any]:
-        """Why a table goes out as it does: by line what was ordered and what is let out, and what stands."""
+    def explain(
+        self, number: int, ordered: Mapping[str, float], level: float, held: str, now: int
+    ) -> dict[str, Any]:
+        """Why a table goes out as it does: by line what was ordered and what is let out, and what stands;
+        `held`: what else keeps it from the order, if anything does."""
         lines, most = self.allowed.get(number, (ordered, level))
         waits = self.waits.get(number)
         return {
             "level": {"ordered": level, "out": most},
             "lines": [
                 {"server": n, "ordered": ordered.get(n, 0.0), "out": lines.get(n, 0.0)}
-                | {"why": self._why(number, n)}
+                | {"why": self._why(number, n) or held or "takes up what others may not have"}
                 for n in sorted({**ordered, **lines})
                 if ordered.get(n) != lines.get(n)
             ],
@@ -218,7 +221,7 @@
         """The rules that hold a line; one on a cold server is told of one of its tables and acts in all."""
         rules = {r.rule for (_, t), (_, r) in self.standing.items()
                  if server in r.servers or (t == number and not r.servers)}  # fmt: skip
-        return ", ".join(sorted(rules)) or "takes up what others may not have"
+        return ", ".join(sorted(rules))
 
     def events(self) -> list[tuple[str, dict[str, Any]]]:
         """What the log should hear of since the last call."""
--- a/swiftchute/planner/core.py
+++ b/swiftchute/planner/core.py
@@ -500,7 +500,9 @@
                 "proxies": len(proxies),
             }
             if proxies and self.gate is not None:
-                found.append(row | self.gate.explain(number, ordered, level, now))
+                pin = self.pins.by.get(self.table_name(number))
+                held = f"held at {pin.change.version.hex()[:12]} ({pin.cause})" if pin else ""
+                found.append(row | self.gate.explain(number, ordered, level, held, now))
         return found
 
     def held(self, proxy: Any) -> Holding:
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -377,6 +377,8 @@
     assert play(NOW + 2 * S) == ["p"]
     assert weights(core) == {"a": 1.0, "b": 1.0, "d": 1.0}
     assert [c.levels[0][0] for c in core.held("p").contents.values()] == [0.5]
+    (row,) = core.explain(NOW + 3 * S)
+    assert [(line["server"], line["why"][:8]) for line in row["lines"]] == [("a", "held at ")]
     # the module's orders meanwhile change nothing, and a drain leaves the pinned table
     play(NOW + 4 * S, ("line", 1, "a", 70.0))
     assert weights(core)["a"] == 1.0
