Reread: one way to queue messages and to name tables, and versions kept without decoding them

Reading the change once more: three places queued messages and only one told the log when the channel was full; the search for a table by its name stood three times, the operations of a table twice; each new version decoded the last one through its deltas to compare lines, and hashed itself twice; a tuned part of the drain grace stood in the core and the bounds of a pin in the commands; a docstring still said that marks of held rounds stay open, three others were garbled.

--- a/swiftchute/daemon/commands.py
+++ b/swiftchute/daemon/commands.py
@@ -12,7 +12,6 @@
 
 S = 1_000_000_000
 MOST = 1000  # rows of an answer
-PIN_MOST = 24 * 3600  # seconds
 
 
 class Commands:
@@ -127,8 +126,6 @@
         return self._pin(table, version, seconds, levels, "pin")
 
     def _pin(self, table: str, version: str, seconds: float, levels: bool, cause: str) -> dict[str, Any]:
-        if not 1 <= seconds <= PIN_MOST:
-            raise Denied(f"{seconds} s: a pin lasts 1 to {PIN_MOST} s")
         change = self.core.pin(table, version, int(seconds * S), bool(levels), cause, self.clock())
         self.done()
         return self._change(change)
--- a/swiftchute/guard/gate.py
+++ b/swiftchute/guard/gate.py
@@ -26,6 +26,7 @@
 PATIENT = 5  # refused orders of a table, past which it waits
 WAIT, WAIT_MOST = S // 4, 8 * S  # the first wait and the longest
 STAMPS = 64  # states of tables kept within the window of the rule on steps; past it the oldest goes
+BEHIND = 4  # what waits in the channel may take a quarter of the drain grace: drains go behind it
 WORTH = 0.1  # a mended line that moves by less than this part, unordered, stays as it went out
 
 
@@ -123,6 +124,11 @@
         done = "warned" if "full channel" in self.guard.rules.warn else "mended"
         return Refusal("full channel", number, (), spent, self.guard.rules.channel_part, done)
 
+    @property
+    def behind(self) -> int:
+        """How long a drain may wait for what is in the channel."""
+        return self.grace // BEHIND
+
     @property
     def due(self) -> int | None:
         """When what should move without an order has been left to the module for long enough."""
--- a/swiftchute/guard/pools.py
+++ b/swiftchute/guard/pools.py
@@ -1,8 +1,9 @@
 """Pools: what tables bring the warm servers of each zone, and how far a change may go at once.
 
-    pools = Pools(facts, warm, full, limit_of)
+    pools = Pools(zone_of, answers, ill)
     loads = pools.loads(tables)                     # invocations a second by zone
-    parts = pools.parts(old, new, then, rules)      # by table: how much of its change may go out, 0 to 1
+    over = pools.over(old, new, then, most, step)   # the pools that a change of loads puts past a limit
+    parts = pools.parts(old, new, judge)            # by table: how much of its change may go out, 0 to 1
 
 Tables are `(demand, lines)`. A change that goes out in part is a mixture of its old and new shares, so that
 what a pool gets moves evenly with the part; the least that must be held back follows without trying. Two
--- a/swiftchute/planner/core.py
+++ b/swiftchute/planner/core.py
@@ -30,7 +30,7 @@
 from swiftchute.registry.lists import News
 from swiftchute.tables import form
 from swiftchute.tables.history import Change, History, Unknown
-from swiftchute.tables.pins import Impossible, Pin, Pins, Rejected
+from swiftchute.tables.pins import SPAN_LEAST, SPAN_MOST, Impossible, Pin, Pins, Rejected
 from swiftchute.tables.sent import Sent
 
 S = 1_000_000_000
@@ -294,14 +294,15 @@
             for proxy in done.lines:
                 self.proxies[proxy].seal = done.seal
                 self.marks.pop(proxy, None)  # the newer mark answers for it
-        self.out.refused += self.channel.put(done.lines, now)
-        if self.out.refused:
-            self.event(
-                "channel full",
-                proxies=len(self.out.refused),
-                lines=self.channel.lines,
-                limit=self.channel.limit,
-            )
+        self._put(done.lines, now)
+
+    def _put(self, lines: dict[Any, int], now: int) -> None:
+        """Queue messages; whose finds no room is let go, and the log told."""
+        refused = self.channel.put(lines, now)
+        if refused:
+            self.out.refused += refused
+            many, limit = self.channel.lines, self.channel.limit
+            self.event("channel full", proxies=len(refused), lines=many, limit=limit)
 
     # -- what a proxy should hold
 
@@ -323,23 +324,22 @@
             lines = tuple((s, self._zone(s), w) for s, w in sorted(open_.items()))
             rows = [(op.name, *row) for op, row in zip(self.set.operations, levels, strict=True)]
             made = form.table(rows, lines)
-            self._note(number, made)
-            kept = self.contents[number] = (table.revision, Content(lines, tuple(levels), form.name(made)))
+            version = self._note(number, made)
+            kept = self.contents[number] = (table.revision, Content(lines, tuple(levels), version))
         return kept[1]
 
-    def _note(self, number: int, made: form.Table) -> None:
-        """Keep a version, with its cause: an order's is what it changed."""
+    def _note(self, number: int, made: form.Table) -> bytes:
+        """Keep a version, with its cause: an order's is what it changed. Returns its name."""
         name = self.table_name(number)
-        newest = self.history.current(name)
-        cause = self.why.pop(number, "")
-        if newest is None:
+        before, cause = self.history.newest(name), self.why.pop(number, "")
+        if before is None:
             cause = "start"
-        elif cause in ("", "list"):
-            before = self.history.get(newest.version)
-            if before is not None and before.lines == made.lines:
-                cause = "level"
-            cause = cause or "health"
-        self.history.note(name, made, self.turned, cause)
+        elif cause in ("", "list") and before.lines == made.lines:
+            cause = "level"
+        self.history.note(name, made, self.turned, cause or "health")
+        newest = self.history.current(name)
+        assert newest is not None
+        return newest.version
 
     def _pinned(self, number: int) -> dict[str, float] | None:
         """The lines that a table is held at, those of open servers."""
@@ -373,13 +373,16 @@
             self.holdings.clear()
             for proxy in self.orders.on.get(number, ()):
                 lines[proxy] = lines.get(proxy, 0) + len(self.gate.allowed[number][0])
-        if lines:
-            self.out.refused += self.channel.put(lines, now)
+        self._put(lines, now)
         self.out.events += self.gate.events()
 
     def _hold(self, done: Round, now: int) -> None:
-        """Take the lines of held tables out of a round: what does not go out is not counted, nor is its
-        mark."""
+        """Take the lines of held tables out of a round: what does not go out is not counted.
+
+        A mark says that a proxy holds all that was sent to it, so it is answered once that is so. Left open
+        it would keep room in the module's book: binds of proxies that rejoined waited for it, and with them
+        their drains (3.7 s, of 3).
+        """
         assert self.gate is not None
         for number in self.gate.held & done.tables.keys():
             for proxy in self.orders.on.get(number, ()):
@@ -396,10 +399,14 @@
         pinned, lines = self._pinned(number), self.orders.tables[number].lines
         return {s: w for s, w in lines.items() if s not in self.orders.shut} if pinned is None else pinned
 
+    def _places(self, number: int) -> list[int]:
+        """The places of the operations that proxies are on a table for."""
+        bound = (self.orders.proxies[p].bound for p in self.orders.on.get(number, ()))
+        return sorted({place for held in bound for place, t in held.items() if t == number})
+
     def _proposal(self, number: int, cold: frozenset[str], now: int) -> Proposal:
-        proxies = self.orders.on.get(number, {})
-        bound = [self.orders.proxies[p].bound for p in proxies]
-        places = sorted({place for held in bound for place, t in held.items() if t == number})
+        assert self.gate is not None
+        proxies, places = self.orders.on.get(number, {}), self._places(number)
         operations = [self.set.operations[place] for place in places]
         named = [op.name for op in operations]
         levels = [self.orders.level(number, place)[0] for place in places]
@@ -412,22 +419,24 @@
             self.sent.pending(proxies, named, cold, lambda p: self.seen.demand((p,), named, now))
             if cold
             else (),
-            self.channel.spent(proxies, self.set.drain_grace // 4, now),
+            self.channel.spent(proxies, self.gate.behind, now),
         )
 
     # -- ways back
 
     def _number(self, name: str) -> int:
         """The number of a table in use. Raises `Impossible`."""
-        for number in self.orders.tables:
-            if self.table_name(number) == name and self.orders.on.get(number):
-                return number
+        number = self._named(name)
+        if number is not None and self.orders.on.get(number):
+            return number
         used = ", ".join(self.table_name(n) for n in sorted(self.orders.tables) if self.orders.on.get(n))
         raise Impossible(f"no proxy is on a table {name!r}; in use are {used or 'none'}")
 
     def pin(self, name: str, asked: str, span: int, levels: bool, cause: str, now: int) -> Change:
         """Hold a table at a kept version for so long. Raises `Unknown` or `Impossible`; nothing changes
         then."""
+        if not SPAN_LEAST <= span <= SPAN_MOST:
+            raise Impossible(f"{span / S:g} s: a pin lasts {SPAN_LEAST // S} to {SPAN_MOST // S} s")
         number, change = self._number(name), self.history.find(name, asked)
         content = self.history.get(change.version)
         if content is None:
@@ -440,9 +449,12 @@
 
     def ordered_lines(self, name: str) -> dict[str, float]:
         """What the module orders of a table, whatever goes out; empty for one that is not known."""
-        found = (t for number, t in self.orders.tables.items() if self.table_name(number) == name)
-        table = next(found, None)
-        return {} if table is None else dict(table.lines)
+        number = self._named(name)
+        return {} if number is None else dict(self.orders.tables[number].lines)
+
+    def _named(self, name: str) -> int | None:
+        """The number of a table by the name that proxies know it by; None if there is no such table."""
+        return next((number for number in self.orders.tables if self.table_name(number) == name), None)
 
     def release(self, name: str, now: int) -> None:
         """The module's orders count again for a table. Raises `Impossible` if it is not pinned."""
@@ -451,9 +463,9 @@
 
     def _released(self, name: str, why: str, now: int) -> None:
         self.event("table released", table=name, why=why)
-        for number in self.orders.tables:
-            if self.table_name(number) == name:
-                self._again(number, "release", now)
+        number = self._named(name)
+        if number is not None:
+            self._again(number, "release", now)
 
     def _end_pins(self, now: int) -> None:
         for name, why in self.pins.ended(self._ready(), now) if self.pins.by else ():
@@ -466,8 +478,7 @@
         self.holdings.clear()
         if self.gate:
             self._review((number,), now, (number,))
-        many = len(self._proposed(number))
-        self.out.refused += self.channel.put(dict.fromkeys(self.orders.on.get(number, ()), many), now)
+        self._put(dict.fromkeys(self.orders.on.get(number, ()), len(self._proposed(number))), now)
 
     def refused(self, proxy: Any, names: Collection[str], now: int) -> None:
         """A proxy rejects what was pushed of these tables; what many reject is taken back."""
@@ -490,12 +501,12 @@
         found = []
         for number, table in sorted(self.orders.tables.items()):
             proxies = self.orders.on.get(number, {})
-            places = {k for p in proxies for k, t in self.orders.proxies[p].bound.items() if t == number}
+            places = self._places(number)
             ordered = {s: w for s, w in table.lines.items() if s not in self.orders.shut}
             level = max((self.orders.level(number, place)[0] for place in places), default=1.0)
             row = {
                 "table": self.table_name(number),
-                "operations": [self.set.operations[place].name for place in sorted(places)],
+                "operations": [self.set.operations[place].name for place in places],
                 "zones": sorted({self.orders.proxies[p].zone for p in proxies}),
                 "proxies": len(proxies),
             }
--- a/swiftchute/tables/history.py
+++ b/swiftchute/tables/history.py
@@ -141,6 +141,11 @@
         table, serial = self.where[version]
         return self.lines[table].at(serial)
 
+    def newest(self, table: str) -> Table | None:
+        """What a table holds now."""
+        line = self.lines.get(table)
+        return line.now if line else None
+
     def current(self, table: str) -> Change | None:
         """The newest entry of a table."""
         line = self.lines.get(table)
--- a/swiftchute/tables/pins.py
+++ b/swiftchute/tables/pins.py
@@ -1,9 +1,9 @@
 """Ways back: tables that staff hold at an earlier version for a while, and versions that many proxies reject.
 
-    pins.set("0.3", change, table, until, levels=False, cause="rollback") lines = pins.lines("0.3",
-    open_servers)     # what is proposed in place of the module's lines, None: not pinned pins.ended(now)
-    # pins whose time is over, or all of whose servers are gone back = rejected.by(proxy, "0.3", version,
-    parent, on, now)   # a version to go back to, or None
+    pins.set("0.3", Pin(change, table, until, levels, "rollback"), open_servers)
+    lines = pins.lines("0.3", open_servers)   # proposed in place of the module's lines; None: not pinned
+    pins.ended(open_servers, now)             # those whose time is over, or all of whose servers are gone
+    rejected.by(proxy, "0.3", version, on, now)     # whether the version is to be taken back
 
 A rollback is a wanted state and no replay of bytes: what it proposes is judged like any table. Drained and
 gone servers do not come back, cold ones stay within their bound; levels and tries follow the load of now
@@ -19,6 +19,7 @@
 
 S = 1_000_000_000
 PINS_MOST = 1000
+SPAN_LEAST, SPAN_MOST = S, 24 * 3600 * S  # a pin that is forgotten ends within a day
 
 
 class Impossible(Exception):
--- a/swiftchute/tables/sent.py
+++ b/swiftchute/tables/sent.py
@@ -12,9 +12,7 @@
 
 from swiftchute.tables.history import History
 
-KEPT = (
-    8  # holdings a proxy may have unacknowledged; past it the second oldest goes, as it was overtaken unsent
-)
+KEPT = 8  # holdings a proxy may go by; past it the second oldest is dropped, as it was overtaken unsent
 
 
 class Content(Protocol):
