--- a/swiftchute/cli/main.py
+++ b/swiftchute/cli/main.py
@@ -103,7 +103,7 @@
     """Judge a written TABLE against a list of SERVERS (file_sd) by the rules of CONFIG; exit 1 if refused.
 
     TABLE is JSON: {"lines": {"address:port": weight}, "zones": ["north"]}, perhaps with "level", "local",
-    "demand" (invocations a second) and "full" (by zone, good answers a second of a warm server of weight 1).
+    "demand" (invocations a second) and "full" (by kind, good answers a second of a warm server of weight 1).
     """
     from swiftchute.guard import offline
 
--- a/swiftchute/config/schema.py
+++ b/swiftchute/config/schema.py
@@ -195,7 +195,10 @@
         "warn": (rules, (), None),
         "line_part": (number(0.01, 1), 1.0, None),
         "late_part": (number(0, 1), 0.2, None),
-        "cold_part": (number(0.05, 1), 0.6, None),
+        "cold_part": (number(0.05, 1), 0.75, None),
+        "pool_most": (number(1, 100), 2.0, None),
+        "step_part": (number(0.01, 1), 0.6, None),
+        "step_window": (span(100 * _MS, 60 * _S), 2 * _S, None),
     },
     "log": {"level": (one_of("debug", "info", "warning", "error"), "info", None)},
 }
--- a/swiftchute/daemon/service.py
+++ b/swiftchute/daemon/service.py
@@ -19,7 +19,7 @@
 ROUND = 5_000_000  # what comes in within so long makes one round, as in the bench's rounds
 _WARN = (
     "module fault", "module waits", "table refused", "proxy silent", "channel full", "stood still", "guard",
-    "table held", "order mended",
+    "table held", "table waits", "order mended",
 )  # fmt: skip
 
 
@@ -31,10 +31,10 @@
         self.config, self.log = config, log
         self.clock = time.monotonic_ns
         now = self.clock()
-        of = config.guard
-        parts = (of["line_part"], of["late_part"], of["cold_part"])
-        rules = Rules(frozenset(of["warn"]), *parts) if of["mode"] != "off" else None
-        self.core = Core(config.settings, config.seed, make, now, rules, of["mode"] == "enforce")
+        mode = config.guard["mode"]
+        of = {key: value for key, value in config.guard.items() if key != "mode"}
+        rules = Rules(**of | {"warn": frozenset(of["warn"])}) if mode != "off" else None
+        self.core = Core(config.settings, config.seed, make, now, rules, mode == "enforce")
         xds, life = config.xds, int(time.time() * 1000)
         self.front = Front(
             self.core,
--- a/swiftchute/guard/gate.py
+++ b/swiftchute/guard/gate.py
@@ -1,31 +1,53 @@
 """The gate: stands between a planner's tables and every front, and remembers what it held back.
 
     gate = Gate(settings, rules, enforce=True)
-    moved = gate.review(proposed, touched, facts, full, now)      # tables that changed without an order
+    moved = gate.review(proposed, touched, facts, known, now, news)   # tables that changed without an order
     lines, level = gate.allowed[number]
     gate.events()                                                 # what the log should hear of
 
 A finding is told once by rule and table, with its figures, and counted from then on; it is told again when
-it ends.
-A table held back for longer than the drain grace raises an alarm.
+it ends. A table held back for longer than the drain grace raises an alarm.
+
+A module that is refused proposes much the same again each round. After a few refusals in a row a table waits,
+longer each time: what is ordered meanwhile is not judged until then, only drains leave it, as always.
 """
 
+import random
+from collections import deque
 from collections.abc import Collection, Mapping
+from dataclasses import dataclass, replace
 from typing import Any
 
-from swiftchute.guard.guard import LATE, Fact, Guard, Proposal, Refusal, Rules
+from swiftchute.guard.guard import LATE, Fact, Guard, Known, Proposal, Refusal, Rules
 from swiftchute.interface import Settings
 
 S = 1_000_000_000
+LEAVE = S // 3  # unordered, a table moves only after so long: most of what the list brings is ordered by then
+PATIENT = 5  # refused orders of a table, past which it waits
+WAIT, WAIT_MOST = S // 4, 8 * S  # the first wait and the longest
+STAMPS = 64  # states of tables kept within the window of the rule on steps; past it the oldest goes
 WORTH = 0.1  # a mended line that moves by less than this part, unordered, stays as it went out
 
 
+@dataclass
+class _Waits:
+    refused: int = 0  # 2 for each refused order, less 1 for each good one
+    until: int = 0
+    told: bool = False
+
+
 class Gate:
     """Keeps what may go out by table, and which findings stand."""
 
-    def __init__(self, settings: Settings, rules: Rules, enforce: bool) -> None:
+    def __init__(self, settings: Settings, rules: Rules, enforce: bool, seed: int = 0) -> None:
         """Without `enforce` findings are told and counted, and tables go out as proposed."""
         self.guard, self.enforce, self.grace = Guard(settings, rules), enforce, settings.drain_grace
+        self.random = random.Random(seed)
+        self.waits: dict[int, _Waits] = {}
+        self.past: deque[tuple[int, dict[int, dict[str, float]]]] = deque(maxlen=STAMPS)
+        self.moving: dict[int, int] = {}  # since when a table should move without an order
+        self.news = -1
+        self.refusals: list[Refusal] = []  # of the last review
         self.allowed: dict[int, tuple[dict[str, float], float]] = {}
         self.standing: dict[tuple[str, int], tuple[int, Refusal]] = {}  # since when a finding stands
         self.alarmed: set[tuple[str, int]] = set()
@@ -36,24 +58,82 @@
         """Whether a listed server is ready and no longer cold."""
         return lambda n: facts[n].state == "ready" and self.guard.capacity(facts[n], now) >= 1
 
-    def review(self, proposed: Mapping[int, Proposal], touched: Collection[int], facts: Mapping[str, Fact],
-               full: Mapping[str, float], now: int) -> list[int]:  # fmt: skip
-        """Judge all tables; returns those nobody ordered to change whose allowed content did."""
+    def review(
+        self,
+        proposed: Mapping[int, Proposal],
+        touched: Collection[int],
+        facts: Mapping[str, Fact],
+        known: Known,
+        now: int,
+        news: int = 0,
+    ) -> list[int]:
+        """Judge all tables; returns those nobody ordered to change whose allowed content did.
+
+        `touched`: tables that were ordered to change; `news` counts changes of the list.
+        """
+        waiting = {t for t, w in self.waits.items() if now < w.until and t in self.allowed and t in proposed}
+        if touched and waiting.issuperset(touched) and news == self.news:
+            self.counts["waited"] = self.counts.get("waited", 0) + 1
+            return []  # a limit on work: nothing that may change now is new
+        self.news = news
+        asked = {
+            number: replace(table, lines=self.allowed[number][0]) if number in waiting else table
+            for number, table in proposed.items()
+        }
         before = {number: lines for number, (lines, _) in self.allowed.items()}
-        verdict = self.guard.judge(proposed, before, facts, full, now)
+        verdict = self.guard.judge(asked, before, facts, replace(known, then=self._then(before, now)), now)
+        self.refusals = verdict.refusals
         self._note(verdict.refusals, now)
+        if self.enforce:
+            self._patience(verdict.refusals, set(touched) - waiting, now)
         moved = []
         for number, made in verdict.tables.items():
-            table = proposed[number]
+            table = asked[number]
             content = made if self.enforce else (dict(table.lines), table.level)
             old = self.allowed.get(number)
-            if number not in touched and old is not None:
+            if (number not in touched or number in waiting) and old is not None:
                 if not self._moved(old, content):
+                    self.moving.pop(number, None)
+                    continue
+                if now - self.moving.setdefault(number, now) < LEAVE and number not in waiting:
                     continue
                 moved.append(number)
+            self.moving.pop(number, None)
             self.allowed[number] = content
         return moved
 
+    def _then(self, before: dict[int, dict[str, float]], now: int) -> dict[int, dict[str, float]]:
+        """What tables held a window ago."""
+        window = self.guard.rules.step_window
+        if not self.past or now - self.past[-1][0] >= window // (STAMPS - 2):
+            self.past.append((now, before))
+        while len(self.past) > 1 and self.past[1][0] <= now - window:
+            self.past.popleft()
+        return self.past[0][1]
+
+    def _patience(self, refusals: list[Refusal], touched: set[int], now: int) -> None:
+        """Count refused orders in a row, and let a table wait that had too many."""
+        refused = {r.table for r in refusals if r.done == "mended"}
+        for number in touched:
+            waits = self.waits.get(number)
+            if number not in refused:
+                if waits is not None:  # one good order among bad ones ends nothing: a decider may oscillate
+                    waits.refused -= 1
+                    if waits.refused <= 0:
+                        del self.waits[number]
+                        if waits.told:
+                            self._events.append(("table waits", {"table": number, "on": False}))
+                continue
+            waits = self.waits.setdefault(number, _Waits())
+            waits.refused = min(waits.refused + 2, 2 * PATIENT + 32)
+            if waits.refused > 2 * PATIENT:
+                most = min(WAIT << (waits.refused - 2 * PATIENT - 1) // 2, WAIT_MOST)
+                waits.until = now + int(most * self.random.uniform(0.5, 1.0))
+                if not waits.told:
+                    waits.told = True
+                    told = {"table": number, "on": True, "seconds": round(most / S, 2)}
+                    self._events.append(("table waits", told))
+
     @staticmethod
     def _moved(old: tuple[dict[str, float], float], new: tuple[dict[str, float], float]) -> bool:
         """Whether an unordered change is worth its lines: caps of warming servers rise a little all
--- a/swiftchute/guard/guard.py
+++ b/swiftchute/guard/guard.py
@@ -1,7 +1,7 @@
 """The guard: judges the tables of one planner before any front sees them, and mends what it refuses.
 
     guard = Guard(settings, Rules(...))
-    verdict = guard.judge(proposed, before, facts, full, now)
+    verdict = guard.judge(proposed, before, facts, Known(full, ..), now)
     verdict.tables[number]      # the lines and level that may go out
     verdict.refusals            # rule, table, servers, figure, limit, and what was done
 
@@ -19,7 +19,8 @@
 5. `no warm server`: only cold lines while a warm server may be used; the warm ones join.
 6. `one line`: a line of more than a stated part beside others; it is cut to that part.
 7. `cold budget`: a cold server gets more, from all tables together, than it may; its lines are cut in all of
-them.
+them. What proxies may still go by until they acknowledge counts with what they are to go by.
+8. `overfull pool`, `large step` (`pools`): a change goes out in part only.
 
 Where no table is safe the least harmful goes out under a named exception: `no open server` (what there is
 stays), `only
@@ -28,13 +29,17 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 from swiftchute.guard.late import worst
+from swiftchute.guard.pools import Over, Pools, blend
 from swiftchute.interface import Settings
 
-RULES = ("bad weight", "barred server", "own zone", "empty pool", "no warm server", "one line", "cold budget")
+RULES = (
+    "bad weight", "barred server", "own zone", "empty pool", "no warm server", "one line", "cold budget",
+    "overfull pool", "large step",
+)  # fmt: skip
 EXCEPTIONS = ("no open server", "only cold servers")
 LATE = "late list"  # counted and told, never mended: see `Guard._late`
 SLACK = 1.001  # figures are floats: what is over its limit by less is not over it
@@ -43,24 +48,29 @@
 @dataclass(frozen=True)
 class Rules:
     """Settings of the guard: rules that only warn, the part a line may have, how far the list may be wrong,
-    and the
-    part of the rule on cold servers that tables may plan for, as arrivals bunch and speeds differ."""
+    the part of the rule on cold servers that tables may plan for, as arrivals bunch and speeds differ, how
+    far past the most it was seen to answer a pool may be filled, and the part of all demand that it may take
+    up within the window."""
 
     warn: frozenset[str] = frozenset()
     line_part: float = 1.0
     late_part: float = 0.2
-    cold_part: float = 0.6
+    cold_part: float = 0.75
+    pool_most: float = 2.0
+    step_part: float = 0.6
+    step_window: int = 2_000_000_000
 
 
 @dataclass(frozen=True)
 class Fact:
     """What the list says of a server: "ready", "draining" or "gone"; `started` 0 if long ago; its
-    listed weight."""
+    listed weight; its kind: those of a kind do the same work."""
 
     zone: str
     state: str
     started: int
     weight: float
+    kind: str = ""
 
 
 @dataclass(frozen=True)
@@ -72,6 +82,28 @@
     zones: frozenset[str]  # of the proxies on it; none: nobody is
     local: bool = False  # holds an operation that may not leave its zone
     demand: float | None = None  # invocations a second
+    # what proxies on it go by until they acknowledge: the part of the demand that is theirs, and by cold
+    # server the most of that part that it may get
+    pending: tuple[tuple[float, Mapping[str, float]], ...] = ()
+
+
+@dataclass(frozen=True)
+class Known:
+    """What is known besides tables and the list.
+
+    `full`: by kind, good answers a second that a warm server of weight 1 was seen to give; a kind that is not
+    in it is not known; `used`: the same by zone and kind, in that zone alone. `answering`: servers that were
+    seen to answer of late. `ill`: zones whose servers fail most of what they get. `here`: the part of all
+    proxies that is on this planner; the others are sent to the same cold servers by other planners, or by
+    their standing tables. `then`: what tables held a window ago.
+    """
+
+    full: Mapping[str, float] = field(default_factory=dict)
+    used: Mapping[tuple[str, str], float] = field(default_factory=dict)
+    answering: Collection[str] = ()
+    ill: frozenset[str] = frozenset()
+    here: float = 1.0
+    then: Mapping[int, Mapping[str, float]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -114,22 +146,20 @@
         proposed: Mapping[int, Proposal],
         before: Mapping[int, Mapping[str, float]],
         facts: Mapping[str, Fact],
-        full: Mapping[str, float],
+        known: Known,
         now: int,
     ) -> Verdict:
         """Judge all tables.
 
-        `before`: the lines that went out last; `full`: by zone, good answers a second that a warm server of
-        weight 1
-        was seen to give; a zone that is not in it is not known. Pure: the same arguments give the same
-        verdict.
+        `before`: the lines that went out last. Pure: the same arguments give the same verdict.
         """
-        self.facts, self.full, self.now = facts, full, now
+        self.facts, self.known, self.full, self.now = facts, known, known.full, now
         self.verdict, self.told = Verdict(), set()
         for number, table in sorted(proposed.items()):
             lines = self._lines(number, table, before.get(number, {}))
             self.verdict.tables[number] = (lines, table.level)
-        self._cold(proposed)
+        self._pools(proposed, before)
+        self._cold(proposed, before)
         for number, table in sorted(proposed.items()):
             self._late(number, table, before.get(number, {}))
         return self.verdict
@@ -142,7 +172,13 @@
         return mend
 
     def _open(self, server: str) -> bool:
-        return server in self.facts and self.facts[server].state == "ready"
+        if server not in self.facts:
+            return False
+        state = self.facts[server].state
+        # a list may call servers gone that serve: where gone does not bind, those that answer are open
+        return state == "ready" or (
+            state == "gone" and not self.set.gone_binds and server in self.known.answering
+        )
 
     def _warm(self, server: str) -> bool:
         return self._open(server) and self.capacity(self.facts[server], self.now) >= 1
@@ -214,25 +250,91 @@
 
     # -- all tables together
 
+    def _pools(self, proposed: Mapping[int, Proposal], before: Mapping[int, Mapping[str, float]]) -> None:
+        """Let a change go out in part where a pool would get too much, or too much at once."""
+        old, new, then = {}, {}, {}
+        for number, table in proposed.items():
+            lines, level = self.verdict.tables[number]
+            if not table.zones or not table.demand or not lines:
+                continue
+            demand = table.demand * min(level, 1.0)
+            new[number] = (demand, lines)
+            # what drains, is gone or may not be used any more was not left of one's own will
+            usable = set(self._usable(table))
+            kept = {n: w for n, w in before.get(number, {}).items() if n in usable}
+            if kept:
+                old[number] = (demand, kept)
+            then[number] = (
+                demand,
+                {n: w for n, w in self.known.then.get(number, {}).items() if n in usable} or kept,
+            )
+        if all(new[t][1] == lines for t, (_, lines) in old.items()):
+            return
+        zone_of = {n: f.zone for n, f in self.facts.items() if self._warm(n)}
+        answers: dict[str, float] = defaultdict(float)
+        unknown = {self.facts[n].zone for n in zone_of if self.facts[n].kind not in self.full}
+        for n, zone in zone_of.items():
+            answers[zone] += self._work(self.facts[n]) or 0.0
+        pools = Pools(zone_of, {z: a for z, a in answers.items() if z not in unknown}, self.known.ill)
+        # tables that hold something for the first time load pools as they will; they are not held back
+        ours = {t: new[t] for t in new if t not in old}
+        was = pools.loads({t: row for t, row in then.items() if t in old} | ours)
+        over: dict[tuple[str, str], Over] = {}
+
+        def judge(before_: Mapping[str, float], after: Mapping[str, float]) -> list[Over]:
+            found = pools.over(before_, after, was, self.rules.pool_most, self.rules.step_part)
+            over.update({(o.rule, o.zone): o for o in found if (o.rule, o.zone) not in over})
+            return [o for o in found if o.rule not in self.rules.warn]
+
+        parts = pools.parts(old | ours, new, judge)
+        for (rule, zone), found in sorted(over.items()):
+            on = [
+                t for t in old if pools.shares(new[t][1]).get(zone, 0) > pools.shares(old[t][1]).get(zone, 0)
+            ]
+            named = sorted(n for n in new[on[0]][1] if zone_of.get(n) == zone) if on else []
+            self._find(rule, on[0] if on else min(new), named, found.figure, found.limit)
+        for number, part in parts.items():
+            if part < 1 and number in old:
+                lines, level = self.verdict.tables[number]
+                self.verdict.tables[number] = (blend(old[number][1], lines, part), level)
+
     def budget(self, server: str) -> float | None:
-        """Invocations a second that a server may be sent now; None if its zone's full work is not known."""
+        """Invocations a second that this planner's proxies may send a server now; None if its kind's full
+        work is not known."""
         fact = self.facts[server]
-        full = self.full.get(fact.zone)
+        work = self._work(fact)
+        return None if work is None else self._multiple(fact) * work
+
+    def _work(self, fact: Fact) -> float | None:
+        """Good answers a second that this planner may count on from a server once it is warm.
+
+        What its own proxies got in that zone is its own by use; where they sent little it is as much of the
+        kind's full work as it has of all proxies.
+        """
+        full = self.full.get(fact.kind)
         if full is None:
             return None
-        return self._multiple(fact) * full * fact.weight
+        return max(self.known.used.get((fact.zone, fact.kind), 0.0), full * self.known.here) * fact.weight
 
     def _multiple(self, fact: Fact) -> float:
         """What a server may be sent by its full work: the part planned for of what the rule lets
         through now."""
         return self.rules.cold_part * self.set.fall_multiple * self.capacity(fact, self.now)
 
-    def _load(self, proposed: Mapping[int, Proposal], number: int, server: str) -> float:
-        """What a table brings a server a second."""
-        lines, level = self.verdict.tables[number]
-        return (proposed[number].demand or 0.0) * min(level, 1.0) * lines[server] / sum(lines.values())
+    def _load(self, proposed: Mapping[int, Proposal], number: int, server: str, share: float) -> float:
+        """What a table brings a server a second at this share of it, what proxies still go by included."""
+        table, level = proposed[number], min(self.verdict.tables[number][1], 1.0)
+        load, rest = 0.0, 1.0
+        for part, shares in table.pending:
+            load += part * max(level * share, shares.get(server, 0.0))
+            rest -= part
+        return (table.demand or 0.0) * (load + max(rest, 0.0) * level * share)
+
+    def _share(self, number: int, server: str) -> float:
+        lines = self.verdict.tables[number][0]
+        return lines.get(server, 0.0) / sum(lines.values()) if lines else 0.0
 
-    def _cold(self, proposed: Mapping[int, Proposal]) -> None:
+    def _cold(self, proposed: Mapping[int, Proposal], before: Mapping[int, Mapping[str, float]]) -> None:
         used = [number for number, table in proposed.items() if table.zones]
         held = {number: self.verdict.tables[number][0] for number in used}
         cold = sorted({n for lines in held.values() for n in lines if self._open(n) and not self._warm(n)})
@@ -242,10 +344,11 @@
         for _ in range(len(cold) + 1):  # what one loses others take up, so that more may have to be cut
             more = False
             for n in cold:
-                on = [number for number in used if n in self.verdict.tables[number][0]]
-                figure, limit, room = self._cold_figure(proposed, on, mixed, n)
+                # a table that gives the server up counts until all of its proxies have acknowledged that
+                on = [t for t in used if n in held[t] or any(n in part for _, part in proposed[t].pending)]
+                figure, limit, room = self._cold_figure(proposed, before, on, mixed, n)
                 if n in cut:  # stays at its budget, whatever the others' cuts move
-                    more |= figure > limit * SLACK
+                    more |= figure > limit * SLACK and abs(room) < 1
                     cut[n] = room
                     continue
                 if figure <= limit * SLACK or not set(on) & set(mixed):
@@ -260,9 +363,15 @@
                 return
             for number in mixed:
                 self._cut(number, cut)
+            held = {number: self.verdict.tables[number][0] for number in used}
 
     def _cold_figure(
-        self, proposed: Mapping[int, Proposal], on: list[int], mixed: list[int], server: str
+        self,
+        proposed: Mapping[int, Proposal],
+        before: Mapping[int, Mapping[str, float]],
+        on: list[int],
+        mixed: list[int],
+        server: str,
     ) -> tuple[float, float, float]:
         """What a cold server gets, what it may, and the factor by which its part must fall."""
         budget = self.budget(server)
@@ -270,11 +379,33 @@
             figure, limit = self._by_share(on, server)
             # minus: a factor of its weight, not of its share
             return figure, limit, -limit / figure if figure else -1.0
-        loads = {number: self._load(proposed, number, server) for number in on}
-        fixed = sum(load for number, load in loads.items() if number not in mixed)
-        moving = sum(loads.values()) - fixed
-        room = max(budget - fixed, 0.0) / moving if moving else 1.0
-        return fixed + moving, budget, room
+
+        def load(factor: float) -> float:
+            return sum(
+                self._load(
+                    proposed, number, server, self._share(number, server) * (factor if number in mixed else 1)
+                )
+                for number in on
+            )
+
+        figure, least = load(1.0), load(0.0)
+        if figure <= budget:
+            return figure, budget, 1.0
+        if least >= budget:
+            # what proxies still go by is too much already: nobody is sent more until they acknowledge, and
+            # nobody less than their tables held, as that would mend nothing and be undone a moment later
+            now = {t: share for t in on if t in mixed and (share := self._share(t, server))}
+            then = {t: before[t].get(server, 0.0) / sum(before[t].values()) for t in now if before.get(t)}
+            alone = sum((proposed[t].demand or 0.0) * share for t, share in now.items())
+            room = min(
+                [then.get(t, 0.0) / share for t, share in now.items()] + [budget / alone if alone else 1.0]
+            )
+            return (figure, budget, room) if room * SLACK < 1 else (budget, budget, 1.0)
+        low, high = 0.0, 1.0  # the load grows with the factor, by straight pieces
+        for _ in range(30):
+            middle = (low + high) / 2
+            low, high = (middle, high) if load(middle) <= budget else (low, middle)
+        return figure, budget, low
 
     def _cut(self, number: int, cut: Mapping[str, float]) -> None:
         """Let the shares (or weights) of these servers fall by their factors; other lines keep their
@@ -303,7 +434,7 @@
         for number in on:
             lines = self.verdict.tables[number][0]
             warm = [w / self.facts[n].weight for n, w in lines.items() if self._warm(n)]
-            if warm:
+            if warm and server in lines:
                 most = max(most, lines[server] / self.facts[server].weight / (sum(warm) / len(warm)))
         return most, limit
 
@@ -313,7 +444,7 @@
         loads: dict[str, float] = defaultdict(float)
         for number in known:
             for n in self.verdict.tables[number][0]:
-                loads[n] += self._load(proposed, number, n)
+                loads[n] += self._load(proposed, number, n, self._share(number, n))
         for number in known:
             lines, level = self.verdict.tables[number]
             budgets = {n: b for n in lines if self._open(n) and (b := self.budget(n))}
@@ -336,9 +467,9 @@
         rate = table.demand * min(level, 1.0)
 
         def figure(held: Mapping[str, float]) -> tuple[float, str]:
-            known = {n: w for n, w in held.items() if n in self.facts and self.facts[n].zone in self.full}
-            start = {n: self.set.fall_multiple * self.set.start_capacity * self.full[self.facts[n].zone]
-                     * self.facts[n].weight for n in known}  # fmt: skip
+            known = {n: w for n, w in held.items() if n in self.facts and self.facts[n].kind in self.full}
+            least = self.set.fall_multiple * self.set.start_capacity
+            start = {n: least * (self._work(self.facts[n]) or 0.0) for n in known}
             ratio, server, _ = worst(known, rate, start, math.floor(self.rules.late_part * len(known)))
             return ratio, server
 
--- a/swiftchute/guard/offline.py
+++ b/swiftchute/guard/offline.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from swiftchute.guard.guard import Fact, Guard, Proposal, Rules, Verdict
+from swiftchute.guard.guard import Fact, Guard, Known, Proposal, Rules, Verdict
 from swiftchute.interface import Settings
 from swiftchute.registry.lists import BadList, Registry
 
@@ -49,13 +49,13 @@
         raise BadInput(f"{path}: {why}") from None
     if news is not None and news.passed:
         raise BadInput(f"{path}: {news.passed[0]}")
-    return {e[0]: Fact(e[1], e[4], e[6], e[5]) for e in registry.held.values()}
+    return {e[0]: Fact(e[1], e[4], e[6], e[5], e[2]) for e in registry.held.values()}
 
 
 def judge(settings: Settings, table: Written, facts: dict[str, Fact]) -> Verdict:
     """The verdict of every rule on this one table."""
-    unknown = sorted({*table.zones, *table.full} - set(settings.zones))
+    unknown = sorted(set(table.zones) - set(settings.zones))
     if unknown:
         raise BadInput(f"zones: {', '.join(unknown)} are none of {', '.join(settings.zones)}")
     proposal = Proposal(table.lines, table.level, frozenset(table.zones), table.local, table.demand)
-    return Guard(settings, Rules()).judge({0: proposal}, {}, facts, table.full, time.time_ns())
+    return Guard(settings, Rules()).judge({0: proposal}, {}, facts, Known(table.full), time.time_ns())
--- a/swiftchute/guard/seen.py
+++ b/swiftchute/guard/seen.py
@@ -1,8 +1,9 @@
 """What the guard knows of demand and of what warm servers do, from the same sums the module is given.
 
-    seen.told(call, now)                  # each `met` and `arrived` of a round
-    seen.demand(proxies, places, now)     # invocations a second to these proxies, None if nobody has told
-    seen.full(facts, warm, now)           # by zone, good answers a second by unit of weight
+seen.told(call, now)                  # each `met` and `arrived` of a round
+seen.demand(proxies, places, now)     # invocations a second to these proxies, None if nobody has told
+seen.full(facts, warm, now)           # by kind, good answers a second by unit of weight
+seen.answering(now), seen.ill(facts, now)   # servers that answer, zones whose servers mostly fail
 """
 
 from collections import defaultdict, deque
@@ -15,6 +16,7 @@
 S = 1_000_000_000
 FRESH = 10 * S  # a sum counts for so long beyond its span: large fleets are told of in turn
 KEPT = 60  # seconds of which the most that a zone's warm servers gave is kept
+ILL = 0.5  # below this part of good answers a zone's servers answer badly
 STEADY = 5  # judgements over which it is the mean: single sums come half too high by chance
 
 
@@ -23,10 +25,11 @@
 
     def __init__(self) -> None:
         """Nothing is known."""
-        # until when it counts, and a rate: by server and zone of the proxies, by proxy and operation
-        self.good: dict[str, dict[str, tuple[int, float]]] = defaultdict(dict)
+        # until when it counts, and rates (good answers, tries): by server and zone of the proxies; by proxy
+        # and operation
+        self.good: dict[str, dict[str, tuple[int, float, float]]] = defaultdict(dict)
         self.came: dict[Any, dict[str, tuple[int, float]]] = defaultdict(dict)
-        self.best: dict[str, deque[tuple[int, float]]] = defaultdict(lambda: deque(maxlen=KEPT))
+        self.best: dict[tuple[str, str], deque[tuple[int, float]]] = defaultdict(lambda: deque(maxlen=KEPT))
         self.at = 0
 
     def told(self, call: Call, now: int) -> None:
@@ -34,7 +37,9 @@
         name, arguments = call
         if name == "met":
             zone, server, tries, errored, _, span, _ = arguments
-            self.good[server][zone] = (now + span + FRESH, (tries - errored) * S / max(span, 1))
+            self.good[server][zone] = (
+                now + span + FRESH, (tries - errored) * S / max(span, 1), tries * S / max(span, 1)
+            )  # fmt: skip
         elif name == "arrived":
             proxy, operation, invs, _, span = arguments
             self.came[proxy][operation] = (now + span + FRESH, invs * S / max(span, 1))
@@ -49,24 +54,59 @@
                  if op in wanted and until >= now]  # fmt: skip
         return sum(rates) if rates else None
 
-    def full(self, facts: Mapping[str, Fact], warm: Callable[[str], bool], now: int) -> dict[str, float]:
-        """By zone, the most that its warm servers gave of late, a second and unit of weight; not
-        known: left out."""
+    def answering(self, now: int) -> frozenset[str]:
+        """Servers with a good answer in a fresh sum."""
+        return frozenset(
+            server
+            for server, rows in self.good.items()
+            if any(good > 0 and until >= now for until, good, _ in rows.values())
+        )
+
+    def ill(self, facts: Mapping[str, Fact], now: int) -> frozenset[str]:
+        """Zones whose servers failed more than half of the tries of fresh sums."""
+        by: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
+        for server, rows in self.good.items():
+            if server in facts:
+                for until, good, tries in rows.values():
+                    if until >= now:
+                        by[facts[server].zone][0] += good
+                        by[facts[server].zone][1] += tries
+        return frozenset(zone for zone, (good, tries) in by.items() if good < ILL * tries)
+
+    def used(
+        self, facts: Mapping[str, Fact], warm: Callable[[str], bool], now: int
+    ) -> dict[tuple[str, str], float]:
+        """By zone and kind, the most that warm servers gave of late, a second and unit of weight; not known:
+        left out."""
         if now - self.at >= S:
             self.at = now
             for server in [n for n in self.good if n not in facts]:
                 del self.good[server]
-            by: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
+            by: dict[tuple[str, str], list[float]] = defaultdict(lambda: [0.0, 0.0])
             for server, fact in facts.items():
-                rates = [rate for until, rate in self.good.get(server, {}).values() if until >= now]
+                rates = [good for until, good, _ in self.good.get(server, {}).values() if until >= now]
                 if rates and warm(server):
-                    by[fact.zone][0] += sum(rates)
-                    by[fact.zone][1] += fact.weight
-            for zone, (rate, weight) in by.items():
-                self.best[zone].append((now, rate / weight))
+                    by[fact.zone, fact.kind][0] += sum(rates)
+                    by[fact.zone, fact.kind][1] += fact.weight
+            for key, (rate, weight) in by.items():
+                self.best[key].append((now, rate / weight))
+            for key in [k for k, rows in self.best.items() if now - rows[-1][0] > KEPT * S]:
+                del self.best[key]
         found = {}
-        for zone, rows in self.best.items():
-            if len(rows) >= STEADY and now - rows[-1][0] <= KEPT * S:
+        for key, rows in self.best.items():
+            if len(rows) >= STEADY:
                 rates = [rate for _, rate in rows]
-                found[zone] = max(sum(rates[k : k + STEADY]) / STEADY for k in range(len(rates) - STEADY + 1))
-        return {zone: rate for zone, rate in found.items() if rate > 0}
+                found[key] = max(sum(rates[k : k + STEADY]) / STEADY for k in range(len(rates) - STEADY + 1))
+        return {key: rate for key, rate in found.items() if rate > 0}
+
+
+def by_kind(used: Mapping[tuple[str, str], float]) -> dict[str, float]:
+    """By kind, what its servers gave in the zone where they gave most.
+
+    By kind, as a planner's proxies send other zones little: taken by zone alone, a cold server of another
+    zone had a tenth of its budget, and sound pushes of the module were refused.
+    """
+    found: dict[str, float] = defaultdict(float)
+    for (_, kind), rate in used.items():
+        found[kind] = max(found[kind], rate)
+    return dict(found)
--- a/swiftchute/planner/core.py
+++ b/swiftchute/planner/core.py
@@ -21,11 +21,12 @@
 from typing import Any
 
 from swiftchute.guard.gate import Gate
-from swiftchute.guard.guard import Fact, Proposal, Rules
-from swiftchute.guard.seen import Seen
+from swiftchute.guard.guard import Fact, Known, Proposal, Rules
+from swiftchute.guard.seen import Seen, by_kind
 from swiftchute.interface import Call, Decider, Entry, Settings
 from swiftchute.planner.channel import Channel
 from swiftchute.planner.orders import Orders, Round
+from swiftchute.planner.sent import Sent
 from swiftchute.planner.sums import Report, Sums
 from swiftchute.registry.lists import News
 
@@ -100,6 +101,7 @@
         self.list: dict[str, Entry] = {}
         self.facts: dict[str, Fact] = {}  # what the list says, or last said, of each server
         self.reviewed = now
+        self.news = 0  # lists that brought something
         self.barred: frozenset[str] = frozenset()  # servers listed as draining, or gone where gone binds
         self.calls: list[Call] = []
         self.timers: list[tuple[int, int]] = []
@@ -113,8 +115,8 @@
     def _fresh(self) -> None:
         s = self.set
         self.orders = Orders(s, lenient=self.rules is not None and self.enforce)
-        self.gate = Gate(s, self.rules, self.enforce) if self.rules else None
-        self.seen = Seen()
+        self.gate = Gate(s, self.rules, self.enforce, self.random.getrandbits(32)) if self.rules else None
+        self.seen, self.sent = Seen(), Sent()
         self.channel = Channel(
             s.channel_pace, s.channel_limit, s.message_lines, s.message_limit, s.message_window
         )
@@ -139,6 +141,7 @@
         if self.proxies.pop(proxy, None) is not None:
             self.orders.left(proxy)
             self.channel.left(proxy)
+            self.sent.left(proxy)
             self.sums.left(proxy)
             self.calls.append(("left", (proxy,)))
 
@@ -146,6 +149,10 @@
         """A proxy has acknowledged all that belongs to a mark and to those before it."""
         self._sum(("applied", (proxy, seal, now - self.ordered.get(seal, now))))
 
+    def settled(self, proxy: Any) -> None:
+        """A proxy holds all that was pushed to it."""
+        self.sent.settled(proxy)
+
     def heard(self, proxy: Any, report: Report, now: int) -> None:
         """A load report of a proxy; one that is not joined is not heard."""
         joined = self.proxies.get(proxy)
@@ -154,6 +161,7 @@
 
     def listed(self, news: News) -> None:
         """A good list brought these entries."""
+        self.news += 1
         barred = set(self.barred)
         for entry in news.entries:
             server, zone, state = entry[0], entry[1], entry[4]
@@ -161,7 +169,7 @@
                 self.list.pop(server, None)
             else:
                 self.list[server] = entry
-            self.facts[server] = Fact(zone, state, entry[6], entry[5])
+            self.facts[server] = Fact(zone, state, entry[6], entry[5], entry[2])
             if len(self.facts) > FACTS_MOST:  # those gone are forgotten; to the guard they are gone still
                 self.facts = {n: f for n, f in self.facts.items() if f.state != "gone"}
             binds = state == "draining" or (state == "gone" and self.set.gone_binds)
@@ -208,6 +216,7 @@
             if joined is not None:
                 seal, joined.seal = joined.seal, None
                 self.counts["pushes"] += 1
+                self.sent.pushed(proxy, self.held(proxy))
                 self.out.pushes.append((proxy, seal))
         out, self.out = self.out, Turn()
         return out
@@ -273,10 +282,19 @@
         """Let the guard see all tables; what it changes by itself goes out by the channel like an order."""
         assert self.gate is not None
         self.reviewed = now
-        proposed = {number: self._proposal(number, now) for number in self.orders.tables}
-        full = self.seen.full(self.facts, self.gate.warm(self.facts, now), now)
+        warm = self.gate.warm(self.facts, now)
+        cold = frozenset(n for n, f in self.facts.items() if f.started and f.state == "ready" and not warm(n))
+        proposed = {number: self._proposal(number, cold, now) for number in self.orders.tables}
+        used = self.seen.used(self.facts, warm, now)
+        known = Known(
+            by_kind(used),
+            used,
+            () if self.set.gone_binds else self.seen.answering(now),
+            self.seen.ill(self.facts, now),
+            min(len(self.proxies) / max(self.set.proxies, 1), 1.0),
+        )
         lines: dict[Any, int] = {}
-        for number in self.gate.review(proposed, touched, self.facts, full, now):
+        for number in self.gate.review(proposed, touched, self.facts, known, now, self.news):
             self.orders.tables[number].revision += 1
             self.holdings.clear()
             for proxy in self.orders.on.get(number, ()):
@@ -285,18 +303,22 @@
             self.out.refused += self.channel.put(lines, now)
         self.out.events += self.gate.events()
 
-    def _proposal(self, number: int, now: int) -> Proposal:
+    def _proposal(self, number: int, cold: frozenset[str], now: int) -> Proposal:
         table, proxies = self.orders.tables[number], self.orders.on.get(number, {})
         bound = [self.orders.proxies[p].bound for p in proxies]
         places = sorted({place for held in bound for place, t in held.items() if t == number})
         operations = [self.set.operations[place] for place in places]
+        named = [op.name for op in operations]
         levels = [self.orders.level(number, place)[0] for place in places]
         return Proposal(
             {s: w for s, w in table.lines.items() if s not in self.orders.shut},
             max(levels, default=1.0),
             frozenset(self.orders.proxies[p].zone for p in proxies),
             any(op.own_zone for op in operations),
-            self.seen.demand(proxies, [op.name for op in operations], now) if proxies else None,
+            self.seen.demand(proxies, named, now) if proxies else None,
+            self.sent.pending(proxies, named, cold, lambda p: self.seen.demand((p,), named, now))
+            if cold
+            else (),
         )
 
     def held(self, proxy: Any) -> Holding:
--- a/swiftchute/xds/front.py
+++ b/swiftchute/xds/front.py
@@ -138,6 +138,8 @@
             replies, events = stream.progress(now)
             out.replies += [(sid, reply) for reply in replies]
             self._tell(peer, events, now)
+            if stream.since is None and stream.wanted is not None:
+                self.core.settled(peer.node)
         self.touched.clear()
         out.cuts, self.cuts = self.cuts, []
         return out
