--- a/swiftchute/tables/canary.py
+++ b/swiftchute/tables/canary.py
@@ -20,7 +20,8 @@
 S = 1_000_000_000
 LEAST = 30  # invocations on each side, below which a share of errors says nothing
 MARGIN = 0.05  # a part of errors higher by less is no reason to go back, however sure
-SURE, SURE_EARLY = 3.0, 4.0  # standard errors, at the end and at each look before it: many looks find chance
+# standard errors: after its span, at each look before it (many looks find chance), and when all time is over
+SURE, SURE_EARLY, SURE_LAST = 3.0, 4.0, 2.0
 SLOWER = 2.0  # times the others' mean time of a good answer
 TRIALS_MOST = 1000  # past it a change goes to all at once
 CHOICES = 3  # proxies are chosen anew so often when all that were chosen have left
@@ -249,10 +250,14 @@
         why = worse(trial.new, trial.old, SURE if ready else SURE_EARLY)
         if why:
             return End(True, why, trial.before)
-        if ready and min(trial.new.invs, trial.old.invs) >= LEAST:
+        doubts = worse(trial.new, trial.old, 0.0)  # past the margin and perhaps by chance: wait for more
+        if ready and min(trial.new.invs, trial.old.invs) >= LEAST and not doubts:
             why = f"{trial.new.errored} of {trial.new.invs} errored, {trial.old.errored} of {trial.old.invs}"
             return End(False, f"{why} with the others", trial.before)
         if now - trial.began >= self.limits.most:
+            why = worse(trial.new, trial.old, SURE_LAST)
+            if why:
+                return End(True, why, trial.before)
             return End(False, f"{trial.new.invs} invocations in all its time", trial.before)
         return None
 
@@ -265,5 +270,6 @@
             for trial in self.open.values()
             if trial.since and len(trial.since) == len(trial.first)
             and min(trial.new.invs, trial.old.invs) >= LEAST  # else the next report tells
+            and not worse(trial.new, trial.old, 0.0)
         ]
         return min(times, default=None)
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -67,8 +67,8 @@
 def test_it_goes_back_at_once_when_the_sums_are_much_worse_and_not_by_chance(trials):
     feed(trials, 9, 1)  # 15% against 2%: surely worse at the end, not yet in the midst of many looks
     assert trials.over(NOW + 2 * S) == []
-    ((_, end),) = trials.over(NOW + 6 * S) or [(None, None)]
-    assert not end.back  # 2.6 standard errors
+    assert trials.over(NOW + 6 * S) == []  # 2.6 standard errors: neither sure nor as good, it waits for more
+    assert [end.back for _, end in trials.over(NOW + 30 * S)] == [True]
     again = Trials(LIMITS)
     again.change("t", EVEN, SKEWED, (b"1", b"2"), PROXIES, OLD, frozenset(), NOW)
     feed(again, 40, 1)
