A DNS front: the same tables as SRV and address answers, views as proxies of the core

Need: clients that speak no xDS. Change: dns/ has names, records, answers worked out ahead, the decision of how long they live, limits, transfers with IXFR from the tables' history, and a UDP and TCP shell; a zone's view joins the core as a proxy and acknowledges a version once no earlier answer can be in a cache. A node of a view's name is refused by xDS.

--- a/examples/planner.hcl
+++ b/examples/planner.hcl
@@ -70,3 +70,9 @@
 control {
   socket = "/tmp/swiftchute-planner.sock" # for `swiftchute guard explain` and the like; its owner alone may use it
 }
+
+dns { # a second front: the same tables as SRV and address answers
+  listen = "127.0.0.1:18053"
+  origin = "lots.example."
+  views  = ["south 127.0.0.1:18054", "west 127.0.0.1:18055"]
+}
--- a/swiftchute/config/schema.py
+++ b/swiftchute/config/schema.py
@@ -6,6 +6,7 @@
 program's plumbing only.
 """
 
+import ipaddress
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -13,6 +14,7 @@
 from urllib.parse import urlsplit
 
 from swiftchute.config.reader import Block, Problem, read
+from swiftchute.dns.names import BadName, Names, origin
 from swiftchute.guard.guard import RULES
 from swiftchute.interface import Operation, Settings
 
@@ -139,6 +141,39 @@
     return value
 
 
+def domain(value: Any) -> str:
+    """A domain name other than the root."""
+    try:
+        return str(origin(value if isinstance(value, str) else ""))
+    except BadName as why:
+        raise ValueError(str(why)) from None
+
+
+def by_zone(parse: Callable[[Any], Any], what: str) -> Callable[[Any], tuple[tuple[str, Any], ...]]:
+    """A list of strings, each a zone and what is parsed, with a space between."""
+
+    def rows(value: Any) -> tuple[tuple[str, Any], ...]:
+        if not isinstance(value, list):
+            raise ValueError(f"{value!r} is not a list of \"ZONE {what}\"")
+        found = []
+        for row in value:
+            zone, _, rest = row.partition(" ") if isinstance(row, str) else ("", "", "")
+            if not zone or not rest.strip():
+                raise ValueError(f"{row!r} is not \"ZONE {what}\"")
+            found.append((name(zone), parse(rest.strip())))
+        return tuple(found)
+
+    return rows
+
+
+def network(value: Any) -> Any:
+    """An IP network such as 192.0.2.0/24."""
+    try:
+        return ipaddress.ip_network(value)
+    except ValueError as why:
+        raise ValueError(str(why)) from None
+
+
 # block -> field -> (parser, default, field of Settings); the users' words
 _MS, _S = 10**6, 10**9
 _BLOCKS: dict[str, dict[str, tuple[Callable[[Any], Any], Any, str | None]]] = {
@@ -213,6 +248,27 @@
         "canary_most": (span(_S, 3600 * _S), 30 * _S, None),
         "canary_step": (number(0.01, 1), 0.25, None),
     },
+    "dns": {
+        "listen": (address, None, None),
+        "origin": (domain, None, None),
+        "views": (by_zone(address, "address:port"), (), None),
+        "subnets": (by_zone(network, "network"), (), None),
+        "secondaries": (by_zone(address, "address:port"), (), None),
+        "ttl_most": (span(_S, 3600 * _S), 30 * _S, None),
+        "queries": (number(1), 1000.0, None),
+        "responses": (number(0), 200.0, None),
+        "slip": (number(0, 10, True), 2, None),
+        "strangers": (number(1), 1000.0, None),
+        "addresses": (number(1, 32, True), 4, None),
+        "draws": (number(16, 1024, True), 256, None),
+        "borrowed": (one_of("shared", "spare"), "shared", None),
+        "shed": (one_of("none", "servfail"), "none", None),
+        "expire": (span(2 * _S, 24 * 3600 * _S), 30 * _S, None),
+        "rate": (number(0.001), 1.0, None),
+        "calls_per_answer": (number(0.001), 1.0, None),
+        "connections": (number(1, 10_000, True), 256, None),
+        "idle": (span(100 * _MS, 60 * _S), 5 * _S, None),
+    },
     "control": {"socket": (path, None, None)},
     "log": {"level": (one_of("debug", "info", "warning", "error"), "info", None)},
 }
@@ -249,6 +305,7 @@
     xds: dict[str, Any]
     guard: dict[str, Any]
     tables: dict[str, Any]
+    dns: dict[str, Any]
     control: str | None
     log_level: str
 
@@ -343,6 +400,18 @@
             self.wrong(line("service", "zone"), "service.zone", f"{service['zone']!r} is none of the zones")
         if service.get("planner", 0) >= service.get("planners", 1):
             self.wrong(line("service", "planner"), "service.planner", "must be below service.planners")
+        dns = values.get("dns", {})
+        if dns.get("listen") and not dns.get("origin"):
+            self.wrong(seen["dns"].line, "dns.origin", "missing: answers need a name to stand under")
+        for key in ("views", "subnets", "secondaries"):
+            for zone, _ in dns.get(key) or ():
+                if service.get("zones") and zone not in service["zones"]:
+                    self.wrong(line("dns", key), f"dns.{key}", f"{zone!r} is none of the zones")
+        if dns.get("origin") and service.get("zones"):
+            try:
+                Names(dns["origin"], [block.labels[0] for block, _ in operations], service["zones"])
+            except BadName as why:
+                self.wrong(line("dns", "origin"), "dns.origin", str(why))
         if channel.get("way", 0) > channel.get("way_most", 0):
             self.wrong(line("channel", "way"), "channel.way", "must not be above channel.way_most")
         for block, found in operations:
@@ -387,6 +456,7 @@
             values["xds"],
             values["guard"],
             values["tables"],
+            values["dns"],
             values["control"]["socket"],
             values["log"]["level"],
         )
--- a/swiftchute/daemon/service.py
+++ b/swiftchute/daemon/service.py
@@ -1,4 +1,4 @@
-"""A planner as a process: its core, the event loop that turns it, the list's source and the xDS front."""
+"""A planner as a process: its core, the event loop that turns it, the list's source and the fronts."""
 
 import asyncio
 import signal
@@ -8,6 +8,8 @@
 from swiftchute.config import Config
 from swiftchute.control.shell import Control
 from swiftchute.daemon.commands import Commands
+from swiftchute.dns.front import Front as DnsFront
+from swiftchute.dns.shell import Shell as DnsShell
 from swiftchute.guard.guard import Rules
 from swiftchute.observe.log import mode_fields
 from swiftchute.planner.core import Core, Keep
@@ -54,7 +56,12 @@
             xds["streams"],
             config.seed,
         )
-        self.registry = Registry(config.settings.zones, time.time_ns() - now)
+        offset = time.time_ns() - now
+        self.registry = Registry(config.settings.zones, offset)
+        self.dns: DnsShell | None = None
+        if config.dns["listen"]:
+            answers = DnsFront(self.core, config.settings, config.dns, config.seed, offset)
+            self.dns = DnsShell(answers, config.settings.zone, self.clock, log)
         self.shell = Shell(self.front, config.settings, xds, self.kick, self.clock, log)
         commands = Commands(self.core, self.clock, self.kick).all()
         self.control = Control(config.control, commands) if config.control else None
@@ -107,7 +114,10 @@
         self.handle = None
         now = self.clock()
         try:
-            out = self.front.turn(self.core.turn(now), now)
+            turn = self.core.turn(now)
+            if self.dns is not None:
+                self.dns.turn(turn, now)
+            out = self.front.turn(turn, now)
             self.shell.carry_out(out)
             self._events(out)
         except Exception as why:
@@ -116,7 +126,8 @@
             self.fault = why
             self.stop.set()
             raise
-        self._plan(max(self.core.due, self.clock() + 1_000_000))
+        due = min(self.core.due, self.dns.due) if self.dns is not None else self.core.due
+        self._plan(max(due, self.clock() + 1_000_000))
 
     def _past_bounds(self) -> dict[str, int]:
         """What was dropped or turned away past a bound, since the start."""
@@ -145,6 +156,12 @@
             self.address = await self.shell.start()
         except OSError as why:
             raise CannotListen(f"xds.listen: {why}") from None
+        if self.dns is not None:
+            try:
+                await self.dns.start()
+            except OSError as why:
+                await self.shell.stop()
+                raise CannotListen(f"dns.listen: {why}") from None
         source = asyncio.ensure_future(self.source.run())
         self.log.info("serving", address=f"{self.address[0]}:{self.address[1]}")
         stopped = asyncio.ensure_future(self.stop.wait())
@@ -168,9 +185,10 @@
             if self.handle is not None:
                 self.handle.cancel()
             await self.shell.stop()
+            if self.dns is not None:
+                await self.dns.stop()
             if self.control is not None:
                 await self.control.stop()
             gate = self.core.gate
-            self.log.info(
-                "stopped", counts=self.core.counts | self.front.counts, guard=gate.counts if gate else {}
-            )
+            counts = self.core.counts | self.front.counts | (self.dns.counts if self.dns else {})
+            self.log.info("stopped", counts=counts, guard=gate.counts if gate else {})
--- /dev/null
+++ b/swiftchute/dns/ready.py
@@ -0,0 +1,135 @@
+"""Answers worked out ahead: a question is looked up, copied and given its id. No I/O, no clock.
+
+    ready = Ready(records, counters)
+    reply = ready.answer(query, view, limit, now)    # bytes, or None: the name is not of here
+
+An answer is made by the library once a version, question and view; from then on it is a head, the question
+as it came (its case is kept) and a tail, as names in the tail point back at a question of the same length.
+Which of three forms goes out is decided by what the asker can take: whole, without the additional
+addresses, or nothing and TC, so that it comes again by TCP.
+"""
+
+import io
+import random
+from dataclasses import dataclass, field
+
+import dns.message
+import dns.name
+import dns.rcode
+import dns.rdataclass
+import dns.rdatatype
+import dns.rrset
+
+from swiftchute.dns.query import EMPTY, OPT_BYTES, Query, compose
+from swiftchute.dns.records import Found, Records
+
+S = 1_000_000_000
+MADE_MOST = 20_000  # answers kept of a version; past it they are made again when asked for
+
+
+@dataclass
+class Counter:
+    """How often answers of a zone's operation were given, and until when somebody may go by one."""
+
+    given: int = 0
+    until: int = 0
+
+
+Form = tuple[bytes, bytes]  # counts of the three sections, and their bytes
+
+
+@dataclass
+class _Made:
+    """One question's answers; by turn the whole form, and the one without additional addresses."""
+
+    found: Found
+    code: int
+    counter: Counter | None = None
+    forms: list[Form | None] = field(default_factory=lambda: [None])
+    short: Form | None = None
+    turn: int = 0
+    level: float = 1.0
+
+
+class Ready:
+    """The answers of one version of the records."""
+
+    def __init__(self, records: Records, counters: dict[tuple[str, str], Counter], seed: int = 0) -> None:
+        """`counters` by (zone, operation) go on over versions."""
+        self.records, self.counters, self.random = records, counters, random.Random(seed)
+        self.ttl = records.ttl * S
+        self.made: dict[tuple[bytes, int, str], _Made] = {}
+        self.origin = records.names.origin.to_wire().lower()
+        out = io.BytesIO()
+        records.soa().to_wire(out)  # names in full: it follows questions of any length
+        self.negative: Form = (b"\0\0\0\1\0\0", out.getvalue())
+
+    def answer(self, query: Query, view: str, limit: int, now: int) -> bytes | None:
+        """The reply to a question of class IN; None if its name is not under the origin."""
+        name = query.name.lower()
+        made = self.made.get((name, query.type, view))
+        if made is None:
+            if not within(name, self.origin):
+                return None
+            made = self._make(name, query.type, view)
+            if made.found.exists:  # names that are not there may be any: they are not kept
+                if len(self.made) >= MADE_MOST:
+                    self.made.clear()
+                self.made[name, query.type, view] = made
+        if made.counter is not None:
+            made.counter.given += 1
+            if made.level < 1 and self.random.random() >= made.level:
+                return compose(query, dns.rcode.SERVFAIL, *EMPTY)
+            made.counter.until = max(made.counter.until, now + self.ttl)
+        code, (counts, tail) = made.code, self._form(made)
+        room = limit - 12 - len(query.question) - (OPT_BYTES + len(query.options) if query.size else 0)
+        if len(tail) > room and made.found.additional:
+            if made.short is None:
+                made.short = _form(made.found.answer, ())
+            counts, tail = made.short
+        if len(tail) > room:
+            return compose(query, code, *EMPTY, short=True)
+        return compose(query, code, counts, tail)
+
+    def _make(self, name: bytes, kind: int, view: str) -> _Made:
+        owner, _ = dns.name.from_wire(name, 0)
+        found = self.records.lookup(owner, dns.rdatatype.RdataType.make(kind), view)
+        if not found.ready:
+            return _Made(found, dns.rcode.SERVFAIL, forms=[EMPTY])
+        if not found.answer:
+            code = dns.rcode.NOERROR if found.exists else dns.rcode.NXDOMAIN
+            return _Made(found, code, forms=[self.negative])
+        made = _Made(found, dns.rcode.NOERROR, forms=[None] * max(len(found.drawn), 1))
+        if found.operation:
+            key = (found.zone, found.operation)
+            made.counter = self.counters.setdefault(key, Counter())
+            made.level = self.records.levels.get(key, 1.0)
+        return made
+
+    def _form(self, made: _Made) -> Form:
+        """The whole form whose turn it is."""
+        turn = made.turn = (made.turn + 1) % len(made.forms)
+        form = made.forms[turn]
+        if form is None:
+            answer = made.found.answer
+            if made.found.drawn:
+                answer = (self.records.addresses(answer[0].name, made.found.drawn[turn]),)
+            form = made.forms[turn] = _form(answer, made.found.additional)
+        return form
+
+
+def within(name: bytes, origin: bytes) -> bool:
+    """Whether a name (both in wire form, in lower case) is the origin or under it, label by label."""
+    at = 0
+    while len(name) - at > len(origin):
+        at += name[at] + 1
+    return name[at:] == origin
+
+
+def _form(answer: tuple[dns.rrset.RRset, ...], additional: tuple[dns.rrset.RRset, ...]) -> Form:
+    """Sections as they follow a question of the answer's owner."""
+    made = dns.message.Message(id=0)
+    made.question = [dns.rrset.RRset(answer[0].name, dns.rdataclass.IN, answer[0].rdtype)]
+    made.answer, made.additional = list(answer), list(additional)
+    wire = made.to_wire(max_size=65_535, want_shuffle=False)
+    return wire[6:12], wire[12 + len(answer[0].name.to_wire()) + 4 :]
--- a/swiftchute/xds/front.py
+++ b/swiftchute/xds/front.py
@@ -70,6 +70,8 @@
         old = self.sids.get(peer.node)
         if old is None and len(self.streams) >= self.most:
             raise Violation("RESOURCE_EXHAUSTED", f"{self.most} streams are open, the most allowed")
+        if old is None and peer.node in self.core.proxies:
+            raise Violation("ALREADY_EXISTS", f"{peer.node} is a proxy of another front")
         if old is not None:  # it dialled again before its broken stream was noticed, or it is a double
             self._cut(old, "ABORTED", f"node {peer.node} opened another stream")
         lines = delta and names.LINES_FEATURE in peer.features
