A drill of gateways and DNS clients on the same workers; the DNS front judged on sockets

Need: rules shown for both fronts by what passed on sockets. Change: a caching resolver and callers that pick by RFC 2782, resolvers that overstay counted apart, the checker judges clients by DNS too.

--- a/swiftchute/drill/checker.py
+++ b/swiftchute/drill/checker.py
@@ -50,6 +50,11 @@
     deaf: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
     end: int = 0
     planners: dict[str, str] = field(default_factory=dict)  # a dialled address -> the planner behind it
+    # clients by DNS: when each went by another answer for an operation, and whether that had lines; what they
+    # do is in the rows above. `overstaying` are those whose resolver keeps answers past their time to live:
+    # no rule binds them
+    answers: dict[str, list[tuple[int, str, bool]]] = field(default_factory=dict)
+    overstaying: frozenset[str] = frozenset()
 
 
 @dataclass
@@ -201,8 +206,23 @@
                     bare[op.name] = (
                         (began if began is not None and held and began >= held[0] else at) if empty else None
                     )
+        self._unanswered(verdict, servable)
         return verdict
 
+    def _unanswered(self, verdict: Verdict, servable: list[tuple[int, bool]]) -> None:
+        """Clients by DNS: without a line from an answer that has none, or from none, to the next that has."""
+        for caller, rows in self.e.answers.items():
+            bare: dict[str, int] = {}
+            for at, op, has in [*rows, *((self.e.end, op.name, True) for op in self.set.operations)]:
+                began = bare.pop(op, None)
+                if began is not None:
+                    took = self._bare_for(began, at, servable) / S
+                    verdict.figure = max(verdict.figure, took)
+                    if took > verdict.limit and len(verdict.broken) < 20:
+                        verdict.broken.append(f"{caller} had no answer for {op} for {took:.2f} s")
+                if not has:
+                    bare[op] = began if began is not None else at
+
     # -- 2
 
     def twice(self) -> Verdict:
@@ -234,7 +254,7 @@
             rows = self.told.get(t.server, [])
             place = bisect_right([r.at for r in rows], t.at) - 1
             held = self.stream(t.gateway, t.at)
-            if place < 0 or held is None or rows[place].state == "ready":
+            if place < 0 or held is None or rows[place].state == "ready" or t.gateway in self.e.overstaying:
                 continue
             while place and rows[place - 1].state != "ready":
                 place -= 1  # a drain and then gone: the grace began with the drain
@@ -259,6 +279,8 @@
         written: dict[str, list[int]] = defaultdict(list)
         for o in sorted(self.e.orders, key=lambda o: o.at):
             written[o.gateway].append(o.at)
+        for caller, answers in self.e.answers.items():
+            written[caller] = [at for at, _, _ in answers]
         by: dict[str, list[Receipt]] = defaultdict(list)
         for r in sorted(self.e.receipts, key=lambda r: r.at):
             if r.end in ("came", "fell"):
--- a/swiftchute/drill/day.py
+++ b/swiftchute/drill/day.py
@@ -25,8 +25,9 @@
 from swiftchute.drill.checker import Evidence, Told
 from swiftchute.observe.log import setup
 from swiftchute.standin.client import Client
-from swiftchute.standin.gateway import Gateway
+from swiftchute.standin.gateway import Gateway, Try
 from swiftchute.standin.relay import Relay
+from swiftchute.standin.resolver import Caller, Resolver
 from swiftchute.standin.worker import Facts, Worker
 
 S = 1_000_000_000
@@ -39,6 +40,8 @@
     "bid-record": (0.12, 0.06, "1500ms", "5s", 2, "side-effecting"),
 }
 STANDING = 6  # lines of the table that a gateway starts with
+ORIGIN = "lots.example."
+OVERSTAY = 4.0  # seconds that a resolver of that kind keeps answers past their time
 LIST_LATE = 1.5  # seconds until the list tells of a death or a start
 
 
@@ -71,6 +74,8 @@
     decider: str = ""  # in place of the module, as `serve --decider` takes it
     once: float = 0.06  # share of invocations that may take effect once only
     tables: dict[str, Any] = field(default_factory=dict)  # the planners' `tables` block
+    callers: int = 0  # clients by DNS, each zone's with a resolver of their own
+    overstaying: int = 0  # more of them, whose resolver keeps answers for longer than it may
 
 
 def _t(at: float, what: str, *args: Any) -> Trouble:
@@ -107,6 +112,17 @@
         rate=6.0,
         decider="swiftchute.drill.sabotage:Skews",
     ),
+    "dns-day": Day(
+        "gateways and DNS clients on the same workers: a deploy, deaths, a planner that dies and returns,"
+        " resolvers that keep answers too long",
+        40.0,
+        (_t(4, "deploy", 5, 1.5), _t(13, "die", 0.2), _t(19, "come_back"), _t(24, "drain", 1),
+         _t(26, "kill", 0), _t(30, "return_planner", 0), _t(33, "drain", 1), _t(39.9, "resolved")),
+        workers=15,
+        gateways=12,
+        callers=12,
+        overstaying=3,
+    ),
     "rollback-cut": Day(
         "staff take a bad table back; the planner is killed before that is acknowledged, and returns",
         20.0,
@@ -240,6 +256,8 @@
         self.gateways: list[Gateway] = []
         self.planners: list[Planner] = []
         self.relays: dict[tuple[int, int], Relay] = {}  # (gateway, planner)
+        self.views: dict[tuple[int, str], tuple[str, int]] = {}  # (planner, zone) -> where its view answers
+        self.resolvers: dict[str, Resolver] = {}
         self.states: dict[str, tuple[str, int]] = {}  # what the list says: state, start
         self.told: list[Told] = []
         self.deaf: dict[str, list[tuple[int, int]]] = {}
@@ -311,7 +329,7 @@
                     zone=ZONES[number % len(ZONES)],
                     planner=number,
                     planners=day.planners,
-                    proxies=day.gateways,
+                    proxies=day.gateways + (len(self.views) if day.callers else 0),
                     standing_lines=STANDING,
                     avoids_after=5,
                     seed=self.seed * 100 + number,
@@ -339,10 +357,21 @@
                 _block("guard", mode=self.guard),
                 _block("tables", **day.tables),
                 _block("control", socket=self._socket(number)),
+                *self._dns(number),
                 _block("xds", listen=f"{self.host}:{port}", ack_within="10s", read_within="8s"),
             ]
         )
 
+    def _dns(self, number: int) -> list[str]:
+        views = {zone: at for (planner, zone), at in self.views.items() if planner == number}
+        if not views:
+            return []
+        home = ZONES[number % len(ZONES)]
+        listen = {zone: f"{host}:{port}" for zone, (host, port) in views.items()}
+        others = [f"{zone} {at}" for zone, at in listen.items() if zone != home]
+        # all stand-ins ask from one address: the limit on a prefix is theirs together
+        return [_block("dns", listen=listen[home], origin=ORIGIN, views=others, responses=5000)]
+
     def _socket(self, number: int) -> str:
         return os.path.join(self.folder, f"c{number}.sock")
 
@@ -367,6 +396,8 @@
         self.addresses = {}
         for number in range(day.planners):
             port = _free_port(self.host)
+            if day.callers:
+                self.views |= {(number, zone): (self.host, _free_port(self.host)) for zone in ZONES}
             path = os.path.join(self.folder, f"planner-{number}.hcl")
             with open(path, "w", encoding="utf-8") as out:
                 out.write(self.settings(number, port, **self.loose))
@@ -392,13 +423,24 @@
             gateway = Gateway(client, dial, self.random.getrandbits(32), keepalive=0.8, worth=worth)
             self.gateways.append(gateway)
             gateway.start()
+        for (number, _), at in self.views.items():
+            self.dialled[f"{at[0]}:{at[1]}"] = str(number)
+        for k in range(day.callers + day.overstaying):
+            zone, late = ZONES[k % 3], k >= day.callers
+            which = f"{zone}{' late' if late else ''}"
+            if which not in self.resolvers:
+                ways = [at for (_, of), at in self.views.items() if of == zone]
+                self.resolvers[which] = Resolver(ways, ORIGIN, self.random.getrandbits(32), OVERSTAY * late)
+            seed, rate = self.random.getrandbits(32), day.rate * (0.5 + self.random.random())
+            node = f"{'late' if late else 'dns'}-{k:02}"
+            self.gateways.append(Caller(node, zone, rate, self.resolvers[which], seed, worth))
 
     async def run(self) -> Result:
         """Play the day; all that was started is ended whatever happens."""
         try:
             await self._fleet()
             for _ in range(100):  # planners of their own processes need a moment to come up
-                if all(g.joined for g in self.gateways):
+                if all(g.joined for g in self.gateways if not isinstance(g, Caller)):
                     break
                 await asyncio.sleep(0.1)
             begin = time.monotonic()
@@ -462,15 +504,48 @@
                     dict(g.client.standing),
                 )
                 for g in self.gateways
+                if not isinstance(g, Caller)
             },
             {w.address: w.facts.cores * w.speed for w in self.workers},
             self.deaf,
             end,
             self.dialled,
+            {n: c.answers for n, c in self._callers().items() if not c.resolver.overstay},
+            frozenset(n for n, c in self._callers().items() if c.resolver.overstay),
         )
         fell = [w.address for w in self.workers for _ in w.fell]
         return Result(evidence, ends, 0, [], fell, sum(r.lost for r in records), self.notes)
 
+    def _callers(self) -> dict[str, Caller]:
+        return {g.client.node: g for g in self.gateways if isinstance(g, Caller)}
+
+    def resolved(self) -> None:
+        """What came of the clients by DNS, and by how much overstaying resolvers were late for drains."""
+        for late in (False, True):
+            callers = [c for c in self._callers().values() if bool(c.resolver.overstay) == late]
+            asked, earned = (sum(getattr(c.record, key) for c in callers) for key in ("asked", "earned"))
+            tries = [t for c in callers for t in c.record.tries]
+            worst = max((self._after_news(t) for t in tries), default=0.0)
+            kind = f"overstay by {OVERSTAY:g} s" if late else "keep their time"
+            part = 100 * earned / max(asked, 1)
+            self.notes.append(
+                f"{len(callers)} clients whose resolvers {kind}: {part:.1f}% of billed value in time;"
+                f" {len(tries)} tries, the last {worst:.2f} s after its server's drain was listed"
+            )
+        self.notes += [
+            f"resolver {name}: asked {r.asked}, by TCP {r.cut}, nothing got {r.failed} times"
+            for name, r in self.resolvers.items()
+        ]
+
+    def _after_news(self, t: Try) -> float:
+        rows = [r for r in self.told if r.server == t.server and r.at <= t.at]
+        if not rows or rows[-1].state == "ready":
+            return 0.0
+        first = len(rows) - 1
+        while first and rows[first - 1].state != "ready":
+            first -= 1
+        return (t.at - rows[first].at) / S
+
     def _replay(self, result: Result) -> None:
         """Deliver every order of the day twice more: nothing may change and no worker may hear of it."""
         before = {g.client.node: (repr(g.client.tables), repr(g.client.held)) for g in self.gateways}
@@ -493,6 +568,9 @@
         ready = [w for w in self.workers if w.server is not None and self.states[w.address][0] == "ready"]
         return self.random.sample(ready, max(1, round(share * len(self.workers))))
 
+    def _gateways(self, share: float) -> list[int]:
+        return self.random.sample(range(self.day.gateways), max(1, round(share * self.day.gateways)))
+
     async def die(self, share: float) -> None:
         """Workers die at once; the list drops them later."""
         struck = self._some(share)
@@ -625,7 +703,7 @@
 
     async def lose_planners(self, share: float, seconds: float) -> None:
         """Gateways reach no planner for a while, and go on forwarding."""
-        struck = self.random.sample(range(len(self.gateways)), max(1, round(share * len(self.gateways))))
+        struck = self._gateways(share)
         mine = [r for (k, _), r in self.relays.items() if k in struck]
         for relay in mine:
             relay.refusing = True
@@ -644,7 +722,7 @@
 
     def cut(self, share: float) -> None:
         """Streams break at once; the gateways dial again."""
-        for k in self.random.sample(range(len(self.gateways)), max(1, round(share * len(self.gateways)))):
+        for k in self._gateways(share):
             for number in range(len(self.planners)):
                 self.relays[k, number].cut()
 
--- a/swiftchute/standin/gateway.py
+++ b/swiftchute/standin/gateway.py
@@ -243,11 +243,15 @@
         well = {s: w for s, w in lines.items() if self.avoided.get(s, 0) <= now} or lines
         return self.random.choices(list(well), list(well.values()))[0] if well else None
 
+    async def table(self, operation: str) -> Table | None:
+        """What an operation's invocations follow now."""
+        return self.client.table(operation)
+
     async def invoke(self, operation: str, timeout: float = 4.0) -> str:
         """One invocation: returns how it ended."""
         self.count += 1
         inv = f"{self.client.node}-{self.count}"
-        table = self.client.table(operation)
+        table = await self.table(operation)
         if table is None or not table.lines:
             self.record.add(self.record.bare, (time.monotonic_ns(), self.client.node, operation))
             return self._end("no line", operation)
--- /dev/null
+++ b/swiftchute/standin/resolver.py
@@ -0,0 +1,166 @@
+"""A stand-in caching resolver, and a caller that goes by its answers: DNS clients of a drill.
+
+The resolver asks a planner's DNS front (by dnspython: EDNS, and TCP where an answer is cut), keeps an answer
+for its time to live (plus `overstay` seconds, if it is one of those), and goes to the next planner when one
+does not answer. The caller picks by priority and weight as RFC 2782 says and calls stand-in workers.
+"""
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass, field
+
+import dns.asyncquery
+import dns.exception
+import dns.message
+import dns.rcode
+import dns.rdatatype
+
+from swiftchute.standin.client import Client, Table
+from swiftchute.standin.gateway import Gateway, Stream
+
+WAIT = 0.5  # seconds for an answer
+FAILED = 0.2  # seconds that a failure is kept
+S = 1_000_000_000
+
+
+@dataclass(frozen=True)
+class Line:
+    """One SRV record with its address."""
+
+    priority: int
+    weight: int
+    server: str
+
+
+@dataclass
+class Cached:
+    """An answer and until when it is kept (monotonic seconds); who gave it."""
+
+    lines: tuple[Line, ...]
+    until: float
+    upstream: tuple[str, int]
+
+
+@dataclass
+class Resolver:
+    """Keeps answers for whoever asks it; `asked` counts what went upstream, `cut` what came again by TCP."""
+
+    upstreams: list[tuple[str, int]]
+    origin: str
+    seed: int
+    overstay: float = 0.0
+    cache: dict[str, Cached] = field(default_factory=dict)
+    asked: int = 0
+    cut: int = 0
+    failed: int = 0
+
+    def __post_init__(self) -> None:
+        """Nothing is known yet."""
+        self.random = random.Random(self.seed)
+        self.at = self.random.randrange(len(self.upstreams))
+        self.under_way: dict[str, asyncio.Task[Cached]] = {}
+
+    async def lookup(self, operation: str) -> Cached:
+        """An operation's lines; from the cache while they may be kept. One question a name is under way."""
+        held = self.cache.get(operation)
+        if held is not None and time.monotonic() < held.until:
+            return held
+        task = self.under_way.get(operation)
+        if task is None:
+            task = self.under_way[operation] = asyncio.ensure_future(self._ask(operation))
+            task.add_done_callback(lambda _: self.under_way.pop(operation, None))
+        return await asyncio.shield(task)
+
+    async def _ask(self, operation: str) -> Cached:
+        name = f"_{operation}._tcp.{self.origin}"
+        for _ in self.upstreams:
+            upstream = self.upstreams[self.at % len(self.upstreams)]
+            self.asked += 1
+            query = dns.message.make_query(name, "SRV", use_edns=0, payload=1232)
+            try:
+                reply, by_tcp = await dns.asyncquery.udp_with_fallback(
+                    query, upstream[0], timeout=WAIT, port=upstream[1]
+                )
+            except (dns.exception.DNSException, OSError, EOFError):
+                self.at += 1
+                continue
+            self.cut += by_tcp
+            if reply.rcode() == dns.rcode.NOERROR and reply.answer:
+                made = self._read(reply, upstream)
+                self.cache[operation] = made
+                return made
+            self.at += 1
+        self.failed += 1
+        made = self.cache[operation] = Cached((), time.monotonic() + FAILED, self.upstreams[0])
+        return made
+
+    def _read(self, reply: dns.message.Message, upstream: tuple[str, int]) -> Cached:
+        addresses = {r.name: str(r[0]) for r in reply.additional if r.rdtype == dns.rdatatype.A}
+        rows = reply.answer[0]
+        lines = []
+        for r in rows:
+            # a target's name tells its address, where no room was left for the record beside it
+            address = addresses.get(r.target) or r.target.labels[0][3:].decode().replace("-", ".")
+            lines.append(Line(r.priority, r.weight, f"{address}:{r.port}"))
+        return Cached(tuple(lines), time.monotonic() + rows.ttl + self.overstay, upstream)
+
+
+def pick(lines: tuple[Line, ...], chance: random.Random, but: set[str]) -> str | None:
+    """The next line to try: of the lowest priority, by weight (RFC 2782's running sum)."""
+    left = [line for line in lines if line.server not in but]
+    if not left:
+        return None
+    least = min(line.priority for line in left)
+    row = sorted((line for line in left if line.priority == least), key=lambda line: line.weight > 0)
+    at = chance.randint(0, sum(line.weight for line in row))
+    for line in row:
+        at -= line.weight
+        if at <= 0:
+            return line.server
+    return row[-1].server
+
+
+class Caller(Gateway):
+    """A client by DNS in a gateway's place: its table is its resolver's answer; it sheds nothing and tries
+    again only where no connection was made."""
+
+    def __init__(self, node: str, zone: str, rate: float, resolver: Resolver, seed: int, worth: dict) -> None:
+        """`rate` invocations a second come to it."""
+        super().__init__(Client(node, zone, rate, False, False), [("", 0)], seed, worth=worth)
+        self.resolver = resolver
+        self.last: dict[str, Cached] = {}
+        # when it went by another answer for an operation, and whether that has lines
+        self.answers: list[tuple[int, str, bool]] = []
+
+    def start(self) -> None:
+        """It dials nobody."""
+
+    async def table(self, operation: str) -> Table | None:
+        """The answer of now as a table."""
+        held = await self.resolver.lookup(operation)
+        if held is not self.last.get(operation):
+            self.last[operation] = held
+            ways = {f"{kept.upstream[0]}:{kept.upstream[1]}" for kept in self.last.values() if kept.lines}
+            if len(ways) == 1 and self.joined not in ways:  # none of its answers is another planner's now
+                if self.joined:
+                    self._note(self.joined, False)
+                self.streams += 1
+                self.joined = ways.pop()
+                self._note(self.joined, True)
+            self.record.add(self.answers, (time.monotonic_ns(), operation, bool(held.lines)))
+        if not held.lines:
+            return None
+        return Table(f"dns/{operation}", {line.server: line.weight for line in held.lines}, 1.0, 1, True)
+
+    def _note(self, at: str, on: bool) -> None:
+        """By whose answers it goes: to the checker that is the planner it is joined to."""
+        row = Stream(time.monotonic_ns(), self.client.node, self.streams, at, on)
+        self.record.add(self.record.streams, row)
+
+    def pick(self, table: Table, but: set[str]) -> str | None:
+        """By RFC 2782, past those it avoids while there are others."""
+        now = time.monotonic()
+        avoided = {s for s, until in self.avoided.items() if until > now}
+        lines = self.last[table.cluster.partition("/")[2]].lines
+        return pick(lines, self.random, but | avoided) or pick(lines, self.random, but)
--- /dev/null
+++ b/tests/test_dns_sockets.py
@@ -0,0 +1,256 @@
+"""The DNS front on real sockets: a service's answers read by dnspython's clients, and hostile streams."""
+
+import asyncio
+import json
+import random
+import socket
+
+import dns.asyncquery
+import dns.asyncresolver
+import dns.message
+import dns.query
+import dns.rcode
+import dns.zone
+import pytest
+import uvloop
+from scipy import stats
+
+from swiftchute.config import load
+from swiftchute.daemon.service import CannotListen, Service
+from swiftchute.observe.log import setup
+from swiftchute.policy import Planner
+from swiftchute.standin.resolver import Line, pick
+
+ORIGIN = "lots.example."
+SRV = "_lot-estimate._tcp.lots.example."
+SETTINGS = """
+service {{
+  zones = ["north", "south"]
+  zone = "north"
+  proxies = 2
+  standing_lines = 400
+  seed = 7
+}}
+operation "lot-estimate" {{
+  latency_objective = "1200ms"
+  integration_timeout = "4s"
+  billed_value = 3
+  repeats = "idempotent"
+}}
+rules {{
+  drain_grace = "3s"
+  start_capacity = 0.2
+  warm_within = "8s"
+  fall_multiple = 2.5
+  fall_span = "2s"
+  bare_limit = "3s"
+}}
+channel {{
+  pace = 10000
+  limit = 20000
+  message_lines = 6
+}}
+reports {{
+  lines = 200
+}}
+list "file" {{
+  path = "{list}"
+  every = "20ms"
+}}
+xds {{
+  listen = "127.0.0.1:0"
+}}
+dns {{
+  listen = "{listen}"
+  origin = "lots.example."
+  views = ["south 127.0.0.1:0"]
+  secondaries = ["north 127.0.0.1:{secondary}"]
+  responses = 0
+  connections = 20
+  idle = "1s"
+  {more}
+}}
+"""
+
+
+class Running:
+    """A service of its own settings, with a list that a test writes."""
+
+    def __init__(self, folder, servers, listen="127.0.0.1:0", secondary=9, more=""):
+        self.list = folder / "workers.json"
+        self.publish(servers)
+        settings = folder / "planner.hcl"
+        settings.write_text(SETTINGS.format(list=self.list, listen=listen, secondary=secondary, more=more))
+        self.service = Service(load(str(settings)), setup("error"), Planner)
+
+    def publish(self, servers):
+        """`servers`: by address its zone, or its zone and state."""
+        rows = [(n, *((z,) if isinstance(z, str) else z), "ready")[:3] for n, z in servers.items()]
+        groups = [{"targets": [n], "labels": {"zone": z, "state": state}} for n, z, state in rows]
+        self.list.with_suffix(".new").write_text(json.dumps(groups))
+        self.list.with_suffix(".new").replace(self.list)
+
+    async def __aenter__(self):
+        ready = asyncio.get_running_loop().create_future()
+        self.task = asyncio.ensure_future(self.service.run(ready.set_result, signals=False))
+        await asyncio.wait({ready, self.task}, return_when=asyncio.FIRST_COMPLETED)
+        if self.task.done():
+            self.task.result()
+        self.at = self.service.dns.addresses
+        return self
+
+    async def __aexit__(self, *_):
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    async def ask(self, name=SRV, kind="SRV", view="north", tcp=False, **more):
+        query = dns.message.make_query(name, kind, **more)
+        send = dns.asyncquery.tcp if tcp else dns.asyncquery.udp
+        return await send(query, self.at[view][0], port=self.at[view][1], timeout=2)
+
+    async def until(self, good, **asked):
+        for _ in range(300):
+            reply = await self.ask(tcp=True, **asked)
+            if good(reply):
+                return reply
+            await asyncio.sleep(0.02)
+        raise AssertionError(reply)
+
+
+def targets(reply):
+    rows = [r for made in reply.answer for r in made if r.rdtype == dns.rdatatype.SRV]
+    return {(str(r.target).partition(".")[0], r.port) for r in rows}
+
+
+def many(count, zone="north"):
+    return {f"127.0.{k // 200}.{k % 200 + 1}:9000": zone for k in range(count)}
+
+
+def run(act):
+    return uvloop.run(asyncio.wait_for(act(), 30))
+
+
+def test_views_answer_by_their_zones_and_follow_the_list(tmp_path):
+    async def act():
+        servers = many(3) | {"127.9.0.1:9000": "south"}
+        async with Running(tmp_path, servers) as world:
+            await world.until(lambda r: len(targets(r)) == 3)
+            await world.until(lambda r: targets(r) == {("ip-127-9-0-1", 9000)}, view="south")
+            world.publish(servers | {"127.0.0.1:9000": ("north", "draining")})
+            reply = await world.until(lambda r: len(targets(r)) == 2)
+            assert reply.answer[0].ttl <= 2
+            assert (await world.ask("ip-127-0-0-1.lots.example.", "A")).rcode() == dns.rcode.NXDOMAIN
+
+    run(act)
+
+
+def test_dnspythons_resolver_falls_back_to_tcp_and_picks_within_chance(tmp_path):
+    async def act():
+        servers = many(60)
+        async with Running(tmp_path, servers) as world:
+            await world.until(lambda r: len(targets(r)) == 60)
+            resolver = dns.asyncresolver.Resolver(configure=False)
+            resolver.nameservers, resolver.port = [world.at["north"][0]], world.at["north"][1]
+            resolver.use_edns(0, 0, 1232)
+            found = await resolver.resolve(SRV, "SRV")
+            assert found.response.flags & dns.flags.TC == 0
+            assert len(found) == 60
+            return found, {n: w for n, _, w in world.service.core.held("dns/north").contents["0.1"].lines}
+
+    found, table = run(act)
+    chance = random.Random(7)
+    names = {r: str(r.target).partition(".")[0][3:].replace("-", ".") for r in found}
+    rows = tuple(Line(r.priority, r.weight, f"{names[r]}:{r.port}") for r in found)
+    picks = [pick(rows, chance, set()) for _ in range(20_000)]
+    total = sum(table.values())
+    expected = {n: 20_000 * w / total for n, w in table.items()}
+    assert stats.chisquare([picks.count(n) for n in expected], list(expected.values())).pvalue > 1e-4
+
+
+def test_a_version_that_changes_between_a_cut_answer_and_its_repeat_by_tcp(tmp_path):
+    async def act():
+        servers = many(60)
+        async with Running(tmp_path, servers) as world:
+            await world.until(lambda r: len(targets(r)) == 60)
+            cut = await world.ask(use_edns=0, payload=1232)
+            assert cut.flags & dns.flags.TC
+            world.publish(servers | {"127.0.0.1:9000": ("north", "draining")})
+            await world.until(lambda r: len(targets(r)) == 59)
+
+    run(act)
+
+
+def test_a_secondary_is_notified_and_fetches_differences_by_the_librarys_client(tmp_path):
+    async def act():
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            udp.bind(("127.0.0.1", 0))
+            udp.setblocking(False)
+            servers = many(50)
+            async with Running(tmp_path, servers, secondary=udp.getsockname()[1]) as world:
+                await world.until(lambda r: len(targets(r)) == 50)
+                loop = asyncio.get_running_loop()
+                told = dns.message.from_wire(await asyncio.wait_for(loop.sock_recv(udp, 1000), 5))
+                assert told.opcode() == dns.opcode.NOTIFY
+                zone, (host, port) = dns.zone.Zone(ORIGIN), world.at["north"]
+                await dns.asyncquery.inbound_xfr(host, zone, port=port, timeout=5)
+                first = zone.get_soa().serial
+                world.publish(servers | {"127.0.0.1:9000": ("north", "draining")})
+                await world.until(lambda r: len(targets(r)) == 49)
+                await dns.asyncquery.inbound_xfr(host, zone, port=port, timeout=5)
+                assert zone.get_soa().serial > first
+                kept = zone.get_rdataset("_lot-estimate._tcp", "SRV")
+                assert len(kept) == 49
+
+    run(act)
+
+
+def test_streams_that_drip_or_are_too_many_are_closed_and_others_are_served(tmp_path):
+    async def act():
+        async with Running(tmp_path, many(3)) as world:
+            await world.until(lambda r: len(targets(r)) == 3)
+            drips = []
+            for _ in range(1000):
+                drips.append(await asyncio.open_connection(*world.at["north"]))
+            assert len(world.service.dns.streams) <= 20
+            for _ in range(8):  # a byte now and then is no message
+                for _, writer in drips[-20:]:
+                    if not writer.is_closing():
+                        writer.write(b"\0")
+                assert len(targets(await world.ask(tcp=True))) == 3
+                await asyncio.sleep(0.2)
+            assert world.service.dns.closed["streams_idle"] >= 10  # my own streams took the place of others
+            assert len(world.service.dns.streams) <= 1
+            assert await drips[0][0].read() == b""
+            for _, writer in drips:
+                writer.close()
+
+    run(act)
+
+
+def test_a_stream_that_reads_nothing_is_not_read_from(tmp_path):
+    async def act():
+        async with Running(tmp_path, many(200)) as world:
+            await world.until(lambda r: len(targets(r)) == 200)
+            _, writer = await asyncio.open_connection(*world.at["north"], limit=1024)
+            query = dns.message.make_query(SRV, "SRV").to_wire()
+            before = world.service.dns.front.counts["queries"]
+            writer.write((len(query).to_bytes(2, "big") + query) * 4000)
+            await asyncio.sleep(0.5)
+            answered = world.service.dns.front.counts["queries"] - before
+            assert 10 < answered < 2000
+            assert len(targets(await world.ask(tcp=True))) == 200
+            writer.transport.abort()
+
+    run(act)
+
+
+def test_an_address_that_is_taken_is_told_plainly(tmp_path):
+    async def act():
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            async with Running(tmp_path, many(1), listen=f"127.0.0.1:{taken.getsockname()[1]}"):
+                pass
+
+    with pytest.raises(CannotListen, match=r"dns\.listen"):
+        run(act)
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -12,8 +12,9 @@
 import pytest
 import uvloop
 
+from swiftchute.dns import front, lease
 from swiftchute.drill.checker import judge
-from swiftchute.drill.day import DAYS, Runner
+from swiftchute.drill.day import DAYS, Runner, Trouble
 from swiftchute.drill.report import broken, text
 from swiftchute.drill.sabotage import SABOTEURS, Bent, Oscillates, cases
 from swiftchute.policy import Planner
@@ -38,6 +39,14 @@
         return [(verb, (*arguments[:3], 2))]
 
 
+class OverlongLease(lease.Lease):
+    """Lets answers live for longer than a drain allows."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.bound = 8
+
+
 LOOSE = {"limit": 1e6, "pace": 1e6, "messages": 0}
 QUIET = replace(DAYS["quiet"], seconds=8.0, workers=9, gateways=6, planners=1)
 BROKEN = {  # what no guard mends: it is the module's, and the channel's
@@ -47,6 +56,8 @@
 KEPT = {rule: day for day, rule in ((SABOTEURS["empties"][2], "lost"), (DAYS["errors"], "twice"),
         (DAYS["drains"], "drain"), (DAYS["cold"], "cold"), (BROKEN["queue"][0], "queue"))}  # fmt: skip
 CASES = cases(bad_day=False)
+DNS = replace(DAYS["drains"], gateways=3, callers=6, troubles=(*DAYS["drains"].troubles,
+              Trouble(8.9, "resolved")))  # fmt: skip
 
 
 def play(rule, kind):
@@ -58,8 +69,15 @@
         (day, make, loose), guard = BROKEN[rule], "off"
     elif kind == "kept":
         day, make = KEPT[rule], Planner
-    with tempfile.TemporaryDirectory() as folder:
-        result = uvloop.run(Runner(day, 7, folder, make, loose=loose, guard=guard).run())
+    elif rule.startswith("dns"):
+        day, make = DNS, Planner
+        if rule == "dns overlong":
+            front.Lease = OverlongLease  # in this process of the pool alone, and put back below
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            result = uvloop.run(Runner(day, 7, folder, make, loose=loose, guard=guard).run())
+    finally:
+        front.Lease = lease.Lease
     return result, judge(result.evidence)
 
 
@@ -68,7 +86,8 @@
     """Each broken planner's day without a guard and under one, and the same days with the module as it is."""
     days = [(rule, "broken") for rule in BROKEN] + [(rule, "kept") for rule in RULES]
     days += [("half-push", "process"), ("rollback", "process"), ("canary", "process")]
-    days += [("rollback-cut", "process")] + [(case, "sabotage") for case in CASES]
+    days += [("rollback-cut", "process"), ("dns", "day"), ("dns overlong", "day")]
+    days += [(case, "sabotage") for case in CASES]
     with ProcessPoolExecutor(10, multiprocessing.get_context("spawn")) as pool:
         return dict(zip(days, pool.map(play, *zip(*days, strict=True)), strict=True))
 
@@ -125,6 +144,20 @@
     assert any(": back, " in note or ": on, " in note for note in result.notes), result.notes
 
 
+def test_clients_by_dns_keep_the_rules(played):
+    result, verdicts = played["dns", "day"]
+    assert not broken(result, verdicts), text(result, verdicts)
+    assert len(result.evidence.answers) == 6
+    assert sum(t.gateway.startswith("dns") for t in result.evidence.tries) > 100
+
+
+def test_answers_that_live_too_long_break_the_rule_on_drains(played):
+    result, verdicts = played["dns overlong", "day"]
+    (found,) = [v for v in verdicts if v.broken]
+    assert found.rule == RULES["drain"], text(result, verdicts)
+    assert all(text.startswith("dns-") for text in found.broken)
+
+
 def test_the_days_hold_what_their_rules_look_at(played):
     """A verdict of a day that holds nothing to look at would say nothing."""
     assert any(t.state == "draining" for t in played["drain", "kept"][0].evidence.told)
