Close DNS streams that send messages of nothing; mend their test

Cause: two zero bytes are a whole message of no length, so a byte now and then kept a stream open. Change: a message shorter than a head ends its stream.

--- a/swiftchute/dns/shell.py
+++ b/swiftchute/dns/shell.py
@@ -14,6 +14,7 @@
 from swiftchute.planner.core import Turn
 
 S = 1_000_000_000
+HEAD = 12  # bytes of the shortest message
 UNREAD_MOST = 256 * 1024  # bytes of replies that may wait for a client
 
 
@@ -56,6 +57,9 @@
     def _take(self) -> None:
         while not self.full and len(self.buffer) >= 2:
             size = int.from_bytes(self.buffer[:2], "big")
+            if size < HEAD:  # lengths of nothing, a byte now and then, would keep a stream open for ever
+                self.transport.abort()
+                return
             if len(self.buffer) < 2 + size:
                 break
             message = bytes(self.buffer[2 : 2 + size])
--- a/tests/test_dns_sockets.py
+++ b/tests/test_dns_sockets.py
@@ -212,15 +212,19 @@
             for _ in range(1000):
                 drips.append(await asyncio.open_connection(*world.at["north"]))
             assert len(world.service.dns.streams) <= 20
-            for _ in range(8):  # a byte now and then is no message
+            for byte in b"\0\x1eabcdef":  # a byte now and then is no message
                 for _, writer in drips[-20:]:
                     if not writer.is_closing():
-                        writer.write(b"\0")
+                        writer.write(bytes([byte]))
                 assert len(targets(await world.ask(tcp=True))) == 3
                 await asyncio.sleep(0.2)
             assert world.service.dns.closed["streams_idle"] >= 10  # my own streams took the place of others
             assert len(world.service.dns.streams) <= 1
             assert await drips[0][0].read() == b""
+            reader, writer = await asyncio.open_connection(*world.at["north"])
+            writer.write(b"\0\0")  # a message of nothing
+            assert await asyncio.wait_for(reader.read(), 0.5) == b""
+            writer.close()
             for _, writer in drips:
                 writer.close()
 
