--- a/benchmarks/push.py
+++ b/benchmarks/push.py
@@ -157,9 +157,9 @@
     """One planner and its client processes."""
 
     def __init__(
-        self, gateways: int, form: str, folder: str, profile: str = "", guard: str = "enforce"
+        self, gateways: int, form: str, folder: str, profile: str = "", guard: str = "enforce", more: str = ""
     ) -> None:
-        self.guard = guard
+        self.guard, self.more = guard, more  # further blocks of the planner's settings
         self.profile = ["-m", "cProfile", "-o", profile] if profile else []
         self.gateways, self.form, self.folder = gateways, form, folder
         self.list = os.path.join(folder, "list.json")
@@ -184,6 +184,7 @@
                 SETTINGS.format(
                     gateways=self.gateways, list=self.list, port=port, guard=self.guard, workers=WORKERS
                 )
+                + self.more
             )
         self.planner = await asyncio.create_subprocess_exec(
             sys.executable, *self.profile, "-m", "swiftchute", "serve", path
--- a/swiftchute/dns/ready.py
+++ b/swiftchute/dns/ready.py
@@ -24,7 +24,7 @@
 from swiftchute.dns.records import Found, Records
 
 S = 1_000_000_000
-MADE_MOST = 20_000  # answers kept of a version; past it they are made again when asked for
+MADE_MOST = 20_000  # answers kept of a version, by type and view; past it they are made again when asked for
 
 
 @dataclass
@@ -63,6 +63,8 @@
         out = io.BytesIO()
         records.soa().to_wire(out)  # names in full: it follows questions of any length
         self.negative: Form = (b"\0\0\0\1\0\0", out.getvalue())
+        self.known = records.known()
+        self.denied = _Made(Found(), dns.rcode.NXDOMAIN, forms=[self.negative])
 
     def answer(self, query: Query, view: str, limit: int, now: int) -> bytes | None:
         """The reply to a question of class IN; None if its name is not under the origin."""
@@ -71,11 +73,13 @@
         if made is None:
             if not within(name, self.origin):
                 return None
-            made = self._make(name, query.type, view)
-            if made.found.exists:  # names that are not there may be any: they are not kept
+            if name in self.known:
+                made = self._make(name, query.type, view)
                 if len(self.made) >= MADE_MOST:
                     self.made.clear()
                 self.made[name, query.type, view] = made
+            else:  # names that are not there may be any: they are not kept
+                made = self.denied
         if made.counter is not None:
             made.counter.given += 1
             if made.level < 1 and self.random.random() >= made.level:
@@ -97,8 +101,7 @@
         if not found.ready:
             return _Made(found, dns.rcode.SERVFAIL, forms=[EMPTY])
         if not found.answer:
-            code = dns.rcode.NOERROR if found.exists else dns.rcode.NXDOMAIN
-            return _Made(found, code, forms=[self.negative])
+            return _Made(found, dns.rcode.NOERROR, forms=[self.negative])
         made = _Made(found, dns.rcode.NOERROR, forms=[None] * max(len(found.drawn), 1))
         if found.operation:
             key = (found.zone, found.operation)
--- a/swiftchute/dns/records.py
+++ b/swiftchute/dns/records.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from functools import lru_cache
 
 import dns.name
 import dns.rdata
@@ -33,6 +34,11 @@
 Lines = tuple[Line, ...]
 
 
+@lru_cache(maxsize=65_536)
+def _wire(name: dns.name.Name) -> bytes:
+    return name.to_wire().lower()
+
+
 @dataclass(frozen=True)
 class Shape:
     """How answers are laid out: addresses in an answer without weights, draws at least, whether lines of
@@ -93,6 +99,10 @@
         above = {owner.parent() for owner in self._owners if owner != names.origin}
         self._between = {owner for owner in above if owner.is_subdomain(names.origin)}
 
+    def known(self) -> set[bytes]:
+        """All names that exist, in wire form and lower case: whatever else is asked for is denied unread."""
+        return {_wire(name) for name in (*self._owners, *self._targets, *self._between)}
+
     def lines(self, operation: str, zone: str) -> Lines | None:
         """An operation's lines for a zone; None if nothing is known of them yet."""
         return self.contents.get(zone, {}).get(operation)
--- a/tests/test_dns_sockets.py
+++ b/tests/test_dns_sockets.py
@@ -56,6 +56,7 @@
 list "file" {{
   path = "{list}"
   every = "20ms"
+  weights = "nominal"
 }}
 xds {{
   listen = "127.0.0.1:0"
@@ -86,7 +87,10 @@
     def publish(self, servers):
         """`servers`: by address its zone, or its zone and state."""
         rows = [(n, *((z,) if isinstance(z, str) else z), "ready")[:3] for n, z in servers.items()]
-        groups = [{"targets": [n], "labels": {"zone": z, "state": state}} for n, z, state in rows]
+        groups = [
+            {"targets": [n], "labels": {"zone": z, "state": state, "weight": str(1 + int(n[-6]) % 4 / 2)}}
+            for n, z, state in rows
+        ]
         self.list.with_suffix(".new").write_text(json.dumps(groups))
         self.list.with_suffix(".new").replace(self.list)
 
@@ -145,26 +149,30 @@
 
 
 def test_dnspythons_resolver_falls_back_to_tcp_and_picks_within_chance(tmp_path):
+    """By RFC 2782's sum, 20,000 picks in each of two views, against the weights that the planner holds."""
+
     async def act():
-        servers = many(60)
+        servers = many(60) | {n.replace("127.0", "127.9"): "south" for n in many(8)}
+        found = {}
         async with Running(tmp_path, servers) as world:
-            await world.until(lambda r: len(targets(r)) == 60)
-            resolver = dns.asyncresolver.Resolver(configure=False)
-            resolver.nameservers, resolver.port = [world.at["north"][0]], world.at["north"][1]
-            resolver.use_edns(0, 0, 1232)
-            found = await resolver.resolve(SRV, "SRV")
-            assert found.response.flags & dns.flags.TC == 0
-            assert len(found) == 60
-            return found, {n: w for n, _, w in world.service.core.held("dns/north").contents["0.1"].lines}
-
-    found, table = run(act)
+            for view, size in (("north", 60), ("south", 8)):
+                await world.until(lambda r, n=size: len(targets(r)) == n, view=view)
+                resolver = dns.asyncresolver.Resolver(configure=False)
+                resolver.nameservers, resolver.port = [world.at[view][0]], world.at[view][1]
+                resolver.use_edns(0, 0, 1232)
+                rows = await resolver.resolve(SRV, "SRV")
+                (content,) = world.service.core.held(f"dns/{view}").contents.values()
+                found[view] = (rows, {n: w for n, _, w in content.lines})
+        return found
+
     chance = random.Random(7)
-    names = {r: str(r.target).partition(".")[0][3:].replace("-", ".") for r in found}
-    rows = tuple(Line(r.priority, r.weight, f"{names[r]}:{r.port}") for r in found)
-    picks = [pick(rows, chance, set()) for _ in range(20_000)]
-    total = sum(table.values())
-    expected = {n: 20_000 * w / total for n, w in table.items()}
-    assert stats.chisquare([picks.count(n) for n in expected], list(expected.values())).pvalue > 1e-4
+    for rows, table in run(act).values():
+        assert len(set(table.values())) > 2
+        names = {r: str(r.target).partition(".")[0][3:].replace("-", ".") for r in rows}
+        lines = tuple(Line(r.priority, r.weight, f"{names[r]}:{r.port}") for r in rows)
+        picks = [pick(lines, chance, set()) for _ in range(20_000)]
+        expected = {n: 20_000 * w / sum(table.values()) for n, w in table.items()}
+        assert stats.chisquare([picks.count(n) for n in expected], list(expected.values())).pvalue > 1e-4
 
 
 def test_a_version_that_changes_between_a_cut_answer_and_its_repeat_by_tcp(tmp_path):
@@ -258,3 +266,41 @@
 
     with pytest.raises(CannotListen, match=r"dns\.listen"):
         run(act)
+
+
+def test_grpcios_own_resolver_reaches_the_servers_by_our_addresses(tmp_path):
+    """A client library nobody here wrote, asking this server (`dns://authority/name`): it takes addresses."""
+    import grpc
+
+    from swiftchute.standin.worker import SERVICE, Facts, Worker
+
+    async def act():
+        facts = Facts({"lot-estimate": 0.01})
+        first = Worker(facts, "north", 1.0, 1)
+        await first.start(host="127.77.0.1")
+        port = int(first.address.rpartition(":")[2])
+        second = Worker(facts, "north", 1.0, 2)
+        second.address = f"127.77.0.2:{port}"
+        await second.start(host="127.77.0.2")
+        try:
+            async with Running(tmp_path, dict.fromkeys([first.address, second.address], "north")) as world:
+                await world.until(lambda r: len(targets(r)) == 2)
+                at = "{}:{}".format(*world.at["north"])
+                target = f"dns://{at}/lot-estimate.{ORIGIN}:{port}"
+
+                def calls():
+                    options = [("grpc.lb_policy_name", "round_robin")]
+                    with grpc.insecure_channel(target, options) as channel:
+                        call = channel.unary_unary(SERVICE + "lot-estimate")
+                        for k in range(20):
+                            call(f"inv-{k}|0|g".encode(), timeout=5, wait_for_ready=True)
+
+                await asyncio.to_thread(calls)
+                ran = [sum(r.end == "ran" for r in w.receipts) for w in (first, second)]
+                assert sum(ran) == 20
+                assert min(ran) > 0
+        finally:
+            await first.die()
+            await second.die()
+
+    run(act)
