--- a/benchmarks/answers.py
+++ b/benchmarks/answers.py
@@ -20,6 +20,7 @@
 import dns.message
 import dns.name
 import dns.rcode
+import dns.rdatatype
 import uvloop
 from push import WORKERS, Bench, free_port
 
@@ -52,27 +53,25 @@
 class Naive(Echo):
     """Reads each query and renders each answer with the library, from records that are made once."""
 
-    names = Names(ORIGIN, ["lot-estimate"], ["z"])
-
     def __init__(self):
         lines = tuple((f"127.1.{k // 200}.{k % 200 + 1}:9000", "z", 1.0) for k in range(WORKERS))
-        self.records = Records(self.names, {"z": {"lot-estimate": lines}}, frozenset(), 2, 7, Shape())
-        self.turn, self.found = 0, {}
+        names = Names(ORIGIN, ["lot-estimate"], ["z"])
+        records = Records(names, {"z": {"lot-estimate": lines}}, frozenset(), 2, 7, Shape())
+        self.sets, self.soa = {(made.name, made.rdtype): made for made in records.whole("z")}, records.soa()
 
     def datagram_received(self, data, source):
         query = dns.message.from_wire(data)
         asked = query.question[0]
-        if (asked.name, asked.rdtype) not in self.found:
-            self.found[asked.name, asked.rdtype] = self.records.lookup(asked.name, asked.rdtype, "z")
-        found = self.found[asked.name, asked.rdtype]
         reply = dns.message.make_response(query)
         reply.flags |= dns.flags.AA
-        reply.set_rcode(dns.rcode.NOERROR if found.exists else dns.rcode.NXDOMAIN)
-        reply.answer, reply.authority = list(found.answer), list(found.authority)
-        if found.drawn:
-            self.turn = (self.turn + 1) % len(found.drawn)
-            reply.answer = [self.records.addresses(asked.name, found.drawn[self.turn])]
-        reply.additional = list(found.additional)
+        found = self.sets.get((asked.name, asked.rdtype))
+        if found is None:
+            reply.set_rcode(dns.rcode.NXDOMAIN)
+            reply.authority = [self.soa]
+        else:
+            reply.answer = [found]
+            if asked.rdtype == dns.rdatatype.SRV:
+                reply.additional = [self.sets[r.target, dns.rdatatype.A] for r in found]
         self.transport.sendto(reply.to_wire(max_size=512, prefer_truncation=True), source)
 
 
--- a/swiftchute/dns/front.py
+++ b/swiftchute/dns/front.py
@@ -65,7 +65,9 @@
         p = self.plumbing = plumbing
         operations = [op.name for op in settings.operations]
         self.names = Names(p["origin"], operations, settings.zones)
-        self.shape = Shape(p["addresses"], p["draws"], p["borrowed"], expire=p["expire"] // S)
+        host, port = p["listen"] or ("localhost", 0)
+        server = "" if host == "localhost" else f"{host}:{port}"
+        self.shape = Shape(p["addresses"], p["draws"], p["borrowed"], expire=p["expire"] // S, server=server)
         self.lease = Lease(settings.drain_grace, settings.bare_limit, p["ttl_most"] // S, p["queries"])
         self.limiter = Limiter(p["responses"], p["slip"], p["strangers"])
         self.journal = Journal(core.history, self.names, self.shape, self.lease.bound)
--- a/swiftchute/dns/names.py
+++ b/swiftchute/dns/names.py
@@ -17,6 +17,7 @@
 import dns.name
 
 LABEL_MOST = 63
+TARGETS_MOST = 100_000  # names kept; past it they are made again
 
 
 class BadName(ValueError):
@@ -49,6 +50,7 @@
         self.operations, self.zones = tuple(operations), tuple(zones)
         self.server = dns.name.Name((b"ns", *self.origin.labels))
         self.mailbox = dns.name.Name((b"hostmaster", *self.origin.labels))
+        self._targets: dict[str, bytes] = {}
         taken = {"ns", "hostmaster", "_tcp"}
         for kind, words in (("operation", self.operations), ("zone", self.zones)):
             for word in words:
@@ -57,6 +59,17 @@
                 if word.lower() in taken or word.lower().startswith(("ip-", "ip6-", "_")):
                     raise BadName(f"{kind} {word!r}: the name would stand for two things under {self.origin}")
                 taken.add(word.lower())
+        # what stands at a name that is there whatever tables hold, by its wire form in lower case: its kind,
+        # operation and zone; names that only stand above others are of no kind (RFC 8020: they exist)
+        self.owners: dict[bytes, tuple[str, str, str]] = {}
+        named = {self.origin: ("origin", "", ""), self.server: ("server", "", "")}
+        for op in self.operations:
+            for zone in (None, *self.zones):
+                named[self.service(op, zone)] = ("service", op, zone or "")
+                named[self.host(op, zone)] = ("host", op, zone or "")
+        above = [owner.parent() for owner in named if owner != self.origin]
+        for owner in (*above, *named):
+            self.owners[owner.to_wire().lower()] = named.get(owner, ("", "", ""))
 
     def _under(self, *labels: str) -> dns.name.Name:
         return dns.name.Name((*(label.encode() for label in labels), *self.origin.labels))
@@ -71,6 +84,18 @@
 
     def target(self, server: str) -> dns.name.Name:
         """The host name of a server's address."""
+        return dns.name.from_wire(self.wire(server), 0)[0]
+
+    def wire(self, server: str) -> bytes:
+        """The same, in wire form: all of a table's targets are looked up at each change of it."""
+        made = self._targets.get(server)
+        if made is None:
+            if len(self._targets) >= TARGETS_MOST:
+                self._targets.clear()
+            made = self._targets[server] = self._target(server).to_wire().lower()
+        return made
+
+    def _target(self, server: str) -> dns.name.Name:
         at = address(server)
         if at.version == 4:
             return self._under("ip-" + str(at).replace(".", "-"))
--- a/swiftchute/dns/ready.py
+++ b/swiftchute/dns/ready.py
@@ -3,8 +3,8 @@
     ready = Ready(records, counters)
     reply = ready.answer(query, view, limit, now)    # bytes, or None: the name is not of here
 
-An answer is made by the library once a version, question and view; from then on it is a head, the question
-as it came (its case is kept) and a tail, as names in the tail point back at a question of the same length.
+An answer is made once a version, question and view; from then on it is a head, the question as it came (its
+case is kept) and a tail, whose owners point back at the question.
 Which of three forms goes out is decided by what the asker can take: whole, without the additional
 addresses, or nothing and TC, so that it comes again by TCP.
 """
@@ -13,11 +13,7 @@
 import random
 from dataclasses import dataclass, field
 
-import dns.message
-import dns.name
 import dns.rcode
-import dns.rdataclass
-import dns.rdatatype
 import dns.rrset
 
 from swiftchute.dns.query import EMPTY, OPT_BYTES, Query, compose
@@ -63,7 +59,6 @@
         out = io.BytesIO()
         records.soa().to_wire(out)  # names in full: it follows questions of any length
         self.negative: Form = (b"\0\0\0\1\0\0", out.getvalue())
-        self.known = records.known()
         self.denied = _Made(Found(), dns.rcode.NXDOMAIN, forms=[self.negative])
 
     def answer(self, query: Query, view: str, limit: int, now: int) -> bytes | None:
@@ -73,7 +68,7 @@
         if made is None:
             if not within(name, self.origin):
                 return None
-            if name in self.known:
+            if self.records.exists(name):
                 made = self._make(name, query.type, view)
                 if len(self.made) >= MADE_MOST:
                     self.made.clear()
@@ -87,20 +82,19 @@
             made.counter.until = max(made.counter.until, now + self.ttl)
         code, (counts, tail) = made.code, self._form(made)
         room = limit - 12 - len(query.question) - (OPT_BYTES + len(query.options) if query.size else 0)
-        if len(tail) > room and made.found.additional:
+        if len(tail) > room and made.found.beside:
             if made.short is None:
-                made.short = _form(made.found.answer, ())
+                made.short = _rows(made.found.rows, ())
             counts, tail = made.short
         if len(tail) > room:
             return compose(query, code, *EMPTY, short=True)
         return compose(query, code, counts, tail)
 
     def _make(self, name: bytes, kind: int, view: str) -> _Made:
-        owner, _ = dns.name.from_wire(name, 0)
-        found = self.records.lookup(owner, dns.rdatatype.RdataType.make(kind), view)
+        found = self.records.lookup(name, kind, view)
         if not found.ready:
             return _Made(found, dns.rcode.SERVFAIL, forms=[EMPTY])
-        if not found.answer:
+        if not (found.answer or found.rows or found.drawn):
             return _Made(found, dns.rcode.NOERROR, forms=[self.negative])
         made = _Made(found, dns.rcode.NOERROR, forms=[None] * max(len(found.drawn), 1))
         if found.operation:
@@ -114,10 +108,14 @@
         turn = made.turn = (made.turn + 1) % len(made.forms)
         form = made.forms[turn]
         if form is None:
-            answer = made.found.answer
-            if made.found.drawn:
-                answer = (self.records.addresses(answer[0].name, made.found.drawn[turn]),)
-            form = made.forms[turn] = _form(answer, made.found.additional)
+            found = made.found
+            if found.answer:
+                form = _sets(found.answer)
+            elif found.drawn:
+                form = _rows(tuple(self.records.row(server) for server in found.drawn[turn]), ())
+            else:
+                form = _rows(found.rows, found.beside)
+            made.forms[turn] = form
         return form
 
 
@@ -129,10 +127,14 @@
     return name[at:] == origin
 
 
-def _form(answer: tuple[dns.rrset.RRset, ...], additional: tuple[dns.rrset.RRset, ...]) -> Form:
-    """Sections as they follow a question of the answer's owner."""
-    made = dns.message.Message(id=0)
-    made.question = [dns.rrset.RRset(answer[0].name, dns.rdataclass.IN, answer[0].rdtype)]
-    made.answer, made.additional = list(answer), list(additional)
-    wire = made.to_wire(max_size=65_535, want_shuffle=False)
-    return wire[6:12], wire[12 + len(answer[0].name.to_wire()) + 4 :]
+def _rows(answer: tuple[bytes, ...], beside: tuple[bytes, ...]) -> Form:
+    """Records in wire form as they follow a question."""
+    counts = len(answer).to_bytes(2, "big") + b"\0\0" + len(beside).to_bytes(2, "big")
+    return counts, b"".join((*answer, *beside))
+
+
+def _sets(answer: tuple[dns.rrset.RRset, ...]) -> Form:
+    """The library's rendering of sets of records, names in full."""
+    out = io.BytesIO()
+    many = sum(made.to_wire(out) for made in answer)
+    return many.to_bytes(2, "big") + bytes(4), out.getvalue()
--- a/swiftchute/dns/records.py
+++ b/swiftchute/dns/records.py
@@ -1,7 +1,7 @@
 """The records of an origin, made of the tables of its zones' views. No I/O, no clock.
 
     made = Records(names, contents, cold, ttl, serial, shape)
-    made.lookup(owner, rdtype, view)   # Found: answer, additional and authority records
+    made.lookup(name, rdtype, view)    # Found, for a name that exists
     made.whole(view)                   # every record, as a transfer carries them
 
 `contents` is by zone and operation the lines (server, zone, weight) that a proxy of that zone would
@@ -10,9 +10,9 @@
 leave out `cold` servers while there are others (see `shares`).
 """
 
+import struct
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from functools import lru_cache
 
 import dns.name
 import dns.rdata
@@ -30,20 +30,18 @@
 from swiftchute.dns.shares import draws, srv_weights
 
 IN = dns.rdataclass.IN
+_OWNER = 0xC00C  # a pointer at the question's name, which stands behind the head
+_OWNER_BYTES = _OWNER.to_bytes(2, "big")
+_ROW, _SRV_ROW = struct.Struct("!HHIH"), struct.Struct("!HHHIHHHH")
 Line = tuple[str, str, float]
 Lines = tuple[Line, ...]
 
 
-@lru_cache(maxsize=65_536)
-def _wire(name: dns.name.Name) -> bytes:
-    return name.to_wire().lower()
-
-
 @dataclass(frozen=True)
 class Shape:
     """How answers are laid out: addresses in an answer without weights, draws at least, whether lines of
     other zones are `shared` by weight or `spare` (a lower priority: used once no server of the zone
-    answers), the times of the SOA in seconds, and the name server's own address."""
+    answers), the times of the SOA in seconds, and the name server's own `address:port`."""
 
     addresses: int = 4
     draws: int = 256
@@ -55,13 +53,14 @@
 
 @dataclass(frozen=True)
 class Found:
-    """What answers a question. `drawn`: other answers that take turns with this one."""
+    """What answers a question: sets of records, or rows: records in wire form whose owner is the question's
+    name, with the addresses beside them. `drawn`: servers of address answers that take turns, made into rows
+    when their turn comes. Nothing at all: a denial."""
 
     answer: tuple[dns.rrset.RRset, ...] = ()
-    additional: tuple[dns.rrset.RRset, ...] = ()
-    authority: tuple[dns.rrset.RRset, ...] = ()
-    exists: bool = True  # else NXDOMAIN
-    drawn: tuple[tuple[str, ...], ...] = ()  # as servers: made into records when their turn comes
+    rows: tuple[bytes, ...] = ()
+    beside: tuple[bytes, ...] = ()
+    drawn: tuple[tuple[str, ...], ...] = ()
     operation: str = ""
     zone: str = ""
     ready: bool = True  # else SERVFAIL: nothing is known yet
@@ -80,28 +79,16 @@
     levels: Mapping[tuple[str, str], float] = field(default_factory=dict)  # let in, by zone and operation
 
     def __post_init__(self) -> None:
-        """The names that exist; records are made when they are asked for."""
-        names, self._owners = self.names, {}
-        self._owners[names.origin] = ("origin", "", "")
-        self._owners[names.server] = ("server", "", "")
-        for op in names.operations:
-            self._owners[names.service(op)] = ("service", op, "")
-            self._owners[names.host(op)] = ("host", op, "")
-            for zone in self.names.zones:
-                self._owners[names.service(op, zone)] = ("service", op, zone)
-                self._owners[names.host(op, zone)] = ("host", op, zone)
-        self._targets: dict[dns.name.Name, str] = {}
-        for contents in self.contents.values():
-            for lines in contents.values():
-                for server, _, _ in lines:
-                    self._targets.setdefault(names.target(server), server)
-        # names that only stand above others exist too: NODATA, not NXDOMAIN (RFC 8020)
-        above = {owner.parent() for owner in self._owners if owner != names.origin}
-        self._between = {owner for owner in above if owner.is_subdomain(names.origin)}
-
-    def known(self) -> set[bytes]:
-        """All names that exist, in wire form and lower case: whatever else is asked for is denied unread."""
-        return {_wire(name) for name in (*self._owners, *self._targets, *self._between)}
+        """The names of targets; records are made when they are asked for."""
+        wire = self.names.wire
+        self._targets = {
+            wire(server): server
+            for contents in self.contents.values() for lines in contents.values() for server, _, _ in lines
+        }  # fmt: skip
+
+    def exists(self, name: bytes) -> bool:
+        """Whether a name (in wire form and lower case) is there; whatever is not is denied unread."""
+        return name in self._targets or name in self.names.owners
 
     def lines(self, operation: str, zone: str) -> Lines | None:
         """An operation's lines for a zone; None if nothing is known of them yet."""
@@ -118,19 +105,36 @@
         """The one name server that is told of."""
         return dns.rrset.from_rdata(self.names.origin, self.ttl, NS(IN, dns.rdatatype.NS, self.names.server))
 
-    def srv(self, owner: dns.name.Name, operation: str, zone: str) -> dns.rrset.RRset | None:
-        """An operation's SRV records for a zone; None without lines."""
-        lines = self.lines(operation, zone)
-        if not lines:
-            return None
+    def _weighed(self, operation: str, zone: str) -> list[tuple[str, int, int, int]]:
+        """By line of a zone's table: its server, priority, weight and port."""
+        lines = self.lines(operation, zone) or ()
         spare = self.shape.borrowed == "spare" and any(z == zone for _, z, _ in lines)
-        rows = []
-        for (server, z, _), weight in zip(lines, srv_weights(lines), strict=True):
-            port, target = int(server.rpartition(":")[2]), self.names.target(server)
-            rows.append(SRV(IN, dns.rdatatype.SRV, int(spare and z != zone), weight, port, target))
-        return dns.rrset.from_rdata_list(owner, self.ttl, rows)
+        return [
+            (server, int(spare and z != zone), weight, int(server.rpartition(":")[2]))
+            for (server, z, _), weight in zip(lines, srv_weights(lines), strict=True)
+        ]
+
+    def srv(self, operation: str, zone: str) -> tuple[bytes, ...]:
+        """An operation's SRV records for a zone. Targets are not compressed (RFC 2782)."""
+        made = []
+        for server, priority, weight, port in self._weighed(operation, zone):
+            target = self.names.wire(server)
+            rdata = (6 + len(target), priority, weight, port)
+            made.append(_SRV_ROW.pack(_OWNER, dns.rdatatype.SRV, IN, self.ttl, *rdata) + target)
+        return tuple(made)
+
+    def row(self, server: str, owner: bytes = _OWNER_BYTES) -> bytes:
+        """A server's address record."""
+        at = address(server)
+        kind = dns.rdatatype.A if at.version == 4 else dns.rdatatype.AAAA
+        return owner + _ROW.pack(kind, IN, self.ttl, len(at.packed)) + at.packed
+
+    def _beside(self, operation: str, zone: str) -> tuple[bytes, ...]:
+        """The addresses of an operation's targets, each name once: ports of one address share it."""
+        servers = {self.names.wire(s): s for s, _, _ in self.lines(operation, zone) or ()}
+        return tuple(self.row(server, owner) for owner, server in servers.items())
 
-    def addresses(self, owner: dns.name.Name, servers: tuple[str, ...]) -> dns.rrset.RRset:
+    def _addresses(self, owner: dns.name.Name, servers: tuple[str, ...]) -> dns.rrset.RRset:
         """The addresses of these servers, in this order: most clients take the first."""
         found = []
         for server in servers:
@@ -149,51 +153,43 @@
         warm = [x for x in lines if x[0] not in self.cold]
         return [tuple(picked) for picked in draws(warm or lines, self.shape.addresses, self.shape.draws)]
 
-    def lookup(self, owner: dns.name.Name, rdtype: dns.rdatatype.RdataType, view: str) -> Found:
-        """What answers a question below the origin."""
-        kind, op, zone = self._owners.get(owner, ("", "", ""))
+    def lookup(self, name: bytes, rdtype: int, view: str) -> Found:
+        """What answers a question for a name that exists, in wire form and lower case."""
+        kind, op, zone = self.names.owners.get(name, ("", "", ""))
         zone = zone or view
         if kind in ("service", "host") and self.lines(op, zone) is None:
             return Found(ready=False)  # it exists, and nothing is known of it yet
-        if rdtype == dns.rdatatype.ANY and (kind or owner in self._targets):
+        if rdtype == dns.rdatatype.ANY and (kind or name in self._targets):
             small = HINFO(IN, dns.rdatatype.HINFO, b"RFC8482", b"")
-            return Found((dns.rrset.from_rdata(owner, self.ttl, small),))
+            return Found((dns.rrset.from_rdata(dns.name.from_wire(name, 0)[0], self.ttl, small),))
         if kind == "origin" and rdtype == dns.rdatatype.SOA:
             return Found((self.soa(),))
         if kind == "origin" and rdtype == dns.rdatatype.NS:
             return Found((self.ns(),))
         if kind == "service" and rdtype == dns.rdatatype.SRV:
-            made = self.srv(owner, op, zone)
-            if made is not None:
-                return Found((made,), self.targets(op, zone), operation=op, zone=zone)
+            return Found(rows=self.srv(op, zone), beside=self._beside(op, zone), operation=op, zone=zone)
         version = {dns.rdatatype.A: 4, dns.rdatatype.AAAA: 6}.get(rdtype)
         if kind == "host" and version:
-            drawn = self.draws(op, zone, version)
-            if drawn:
-                first = (self.addresses(owner, drawn[0]),)
-                return Found(first, drawn=tuple(drawn), operation=op, zone=zone)
-        server = self.shape.server if kind == "server" else self._targets.get(owner, "")
+            return Found(drawn=tuple(self.draws(op, zone, version)), operation=op, zone=zone)
+        server = self.shape.server if kind == "server" else self._targets.get(name, "")
         if server and version == address(server).version:
-            return Found((self.addresses(owner, (server,)),))
-        exists = bool(kind or server) or owner in self._between
-        return Found(authority=(self.soa(),), exists=exists)
-
-    def targets(self, operation: str, zone: str) -> tuple[dns.rrset.RRset, ...]:
-        """The addresses of an operation's targets, each name once: ports of one address share it."""
-        servers = {self.names.target(s): s for s, _, _ in self.lines(operation, zone) or ()}
-        return tuple(self.addresses(name, (server,)) for name, server in servers.items())
+            return Found(rows=(self.row(server),))
+        return Found()
 
     def whole(self, view: str) -> list[dns.rrset.RRset]:
         """Every record but the SOA. A transfer cannot take turns: its addresses are the first draw."""
         found: list[dns.rrset.RRset] = [self.ns()]
-        targets: dict[dns.name.Name, dns.rrset.RRset] = {}
+        targets: dict[str, str] = {}
         for zone in (None, *self.names.zones):
             for op in self.names.operations:
-                owner, held = self.names.service(op, zone), zone or view
-                made = self.srv(owner, op, held)
-                if made is not None:
-                    found.append(made)
-                    targets |= {t.name: t for t in self.targets(op, held)}
+                held = zone or view
+                rows = [
+                    SRV(IN, dns.rdatatype.SRV, priority, weight, port, self.names.target(server))
+                    for server, priority, weight, port in self._weighed(op, held)
+                ]
+                if rows:
+                    found.append(dns.rrset.from_rdata_list(self.names.service(op, zone), self.ttl, rows))
+                    targets |= {str(address(s)): s for s, _, _ in self.lines(op, held) or ()}
                 host = self.names.host(op, zone)
-                found += [self.addresses(host, d[0]) for v in (4, 6) if (d := self.draws(op, held, v))]
-        return found + list(targets.values())
+                found += [self._addresses(host, d[0]) for v in (4, 6) if (d := self.draws(op, held, v))]
+        return found + [self._addresses(self.names.target(server), (server,)) for server in targets.values()]
--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -131,13 +131,13 @@
     ("name", "kind", "code", "answers"),
     [(SRV, "SRV", 0, 3), ("_read._tcp.east.lots.example.", "SRV", 0, 3), ("read.lots.example.", "A", 0, 3),
      ("ip-10-0-0-1.lots.example.", "A", 0, 1), (ORIGIN, "SOA", 0, 1), (ORIGIN, "NS", 0, 1),
-     (SRV, "ANY", 0, 1), (SRV, "TXT", 0, 0), ("read.lots.example.", "AAAA", 0, 0),
-     ("_tcp.lots.example.", "A", 0, 0),
+     (SRV, "ANY", 0, 1), ("ns.lots.example.", "A", 0, 1), (SRV, "TXT", 0, 0),
+     ("read.lots.example.", "AAAA", 0, 0), ("_tcp.lots.example.", "A", 0, 0),
      ("_tcp.west.lots.example.", "A", 0, 0), ("none.lots.example.", "A", 3, 0),
      ("_read._tcp.west.lots.example.", "SRV", 2, 0), ("ip-10-9-9-9.lots.example.", "A", 3, 0)],
 )  # fmt: skip
 def test_every_name_gets_the_answer_or_the_denial_it_is_due(name, kind, code, answers):
-    reply = told(ready(shape=Shape(server="192.0.2.1")), name, kind)
+    reply = told(ready(shape=Shape(server="192.0.2.1:53")), name, kind)
     assert (reply.rcode(), sum(map(len, reply.answer))) == (code, answers)
     if not answers and code != 2:
         (soa,) = reply.authority  # RFC 2308: how long the denial may be kept
--- a/tests/test_dns_sockets.py
+++ b/tests/test_dns_sockets.py
@@ -87,8 +87,9 @@
     def publish(self, servers):
         """`servers`: by address its zone, or its zone and state."""
         rows = [(n, *((z,) if isinstance(z, str) else z), "ready")[:3] for n, z in servers.items()]
+        last = {n: int(n.partition(":")[0].rpartition(".")[2]) for n in servers}
         groups = [
-            {"targets": [n], "labels": {"zone": z, "state": state, "weight": str(1 + int(n[-6]) % 4 / 2)}}
+            {"targets": [n], "labels": {"zone": z, "state": state, "weight": str(1 + last[n] % 4 / 2)}}
             for n, z, state in rows
         ]
         self.list.with_suffix(".new").write_text(json.dumps(groups))
