Drills' gateways go through the proxy's own core and sockets; DNS clients ask until answered

Need: the stand-in gateway did again what the proxy does, by other rules, and drills should judge the proxy. Change: a stand-in gateway and a DNS client pick, avoid, try and speak through proxy/; tries are recorded as written.

--- a/swiftchute/proxy/core.py
+++ b/swiftchute/proxy/core.py
@@ -77,6 +77,7 @@
     """One under way: its table as it was when it came."""
 
     operation: Operation
+    key: str
     table: Table
     picker: Picker
     came: int
@@ -85,6 +86,7 @@
     tried: set[str] = field(default_factory=set)
     server: str | None = None
     began: int = 0
+    sent: int = 0  # when its try was written; 0: not yet
     over: bool = False
 
 
@@ -92,9 +94,11 @@
     """The state of one proxy."""
 
     def __init__(
-        self, client: Client, operations: Mapping[str, Operation], limits: Limits, seed: int
-    ) -> None:
-        """`client` holds the tables."""
+        self, client: Client, operations: Mapping[str, Operation], limits: Limits, seed: int,
+        unknown: str = "side-effecting",
+    ) -> None:  # fmt: skip
+        """`client` holds the tables; `unknown`: how operations repeat of which nothing is known."""
+        self.unknown = unknown
         self.client, self.operations, self.limits = client, dict(operations), limits
         self.random = random.Random(seed)
         self.avoided = Avoided(limits.avoid_after, limits.avoid_for, self.random.getrandbits(32))
@@ -113,8 +117,8 @@
         self.shut = self.client.shut()
         named: set[str] = set()
         for name in self.client.held[names.LDS]:
-            if name not in self.operations:  # nothing is known of it: it may not run again
-                self.operations[name] = Operation(name, TIMEOUT, "side-effecting")
+            if name not in self.operations:
+                self.operations[name] = Operation(name, TIMEOUT, self.unknown)
         for name in self.operations:
             table = self.client.table(name)
             if table is None or not table.lines:
@@ -161,7 +165,7 @@
         span = int(table.timeout * S) if table.timeout else known.timeout
         self.under_way += 1
         self.budget.came(now)
-        return Invocation(known, table, picker, now, now + span)
+        return Invocation(known, key, table, picker, now, now + span)
 
     def _turned(self, why: str) -> Turned:
         self.turned[why] += 1
@@ -185,7 +189,7 @@
         server = choose(inv.picker, self.random, gone, avoided)
         if server is None:
             return None
-        inv.server, inv.began = server, now
+        inv.server, inv.began, inv.sent = server, now, 0
         self.at[server] += 1
         self.avoided.picked(server, now)
         last = inv.attempt >= inv.table.tries
--- a/swiftchute/proxy/shell.py
+++ b/swiftchute/proxy/shell.py
@@ -385,24 +385,34 @@
                 caller.transport.close()
 
     async def answer(self, message: Message, key: str, second: bool) -> Message:
-        """One invocation, from its request to its answer."""
+        """One invocation of a caller, from its request to its answer."""
         asked = answers.read(message)
+        why, reply = await self.invoke(message, asked, key, second)
+        return reply if reply is not None else answers.turned(why, asked.rpc)
+
+    async def invoke(
+        self, message: Message, asked: answers.Asked, key: str, second: bool
+    ) -> tuple[str, Message | None]:
+        """How an invocation ended ("answered", or why not), and the server's answer if there was one."""
         inv = self.core.came(asked.operation, key, self.clock())
         if isinstance(inv, Turned):
-            return answers.turned(inv.why, asked.rpc)
+            return inv.why, None
         if asked.within is not None:
             inv.until = min(inv.until, self.clock() + asked.within)
         end, reply = End("no line", False), None
         try:
             while (where := self.core.next(inv, self.clock())) is not None:
                 end, reply = await self._try(inv, where.server, where.until, message, asked.rpc, second)
+                self.told(inv, end)
                 if self.core.ended(inv, end, self.clock()):
                     break
         finally:
             self.core.given_up(inv, self.clock())
-        if reply is not None:
-            return reply
-        return answers.turned("late" if self.clock() >= inv.until else end.kind, asked.rpc)
+        late = reply is None and self.clock() >= inv.until
+        return "late" if late else end.kind, reply
+
+    def told(self, inv: Invocation, end: End) -> None:
+        """A try at `inv.server` ended: for whoever keeps a record."""
 
     async def _try(
         self, inv: Invocation, server: str, until: int, message: Message, rpc: bool, second: bool
@@ -427,6 +437,7 @@
             except Broken:
                 line.closing = True
                 return UNSENT, None
+            inv.sent = self.clock()
             async with asyncio.timeout(max(until - self.clock(), 0) / S):
                 end, reply = await future
             if reply is not None:
--- a/swiftchute/standin/gateway.py
+++ b/swiftchute/standin/gateway.py
@@ -8,17 +8,26 @@
 import time
 from dataclasses import dataclass, field
 
-from grpclib.client import Channel
-from grpclib.const import Cardinality, Status
-from grpclib.exceptions import GRPCError
-
-from swiftchute.proxy.ads import Client, Table
-from swiftchute.proxy.link import LOST, Link
+from swiftchute.proxy.ads import Client
+from swiftchute.proxy.answers import Asked
+from swiftchute.proxy.core import Core, Invocation, Limits, Operation
+from swiftchute.proxy.link import Link
+from swiftchute.proxy.shell import Proxy
+from swiftchute.proxy.tries import WITHDRAWN, End
+from swiftchute.proxy.wire import Message
 from swiftchute.standin.worker import SERVICE
-from swiftchute.xds.shell import Raw
 
 RECORD_MOST = 500_000
-AVOID = 3.0  # seconds that a server is avoided after a run of failures
+WAITING_MOST = 200
+S = 1_000_000_000
+TIMEOUT = 4 * S  # of an invocation whose route names none
+ENDS = {"answered": "succeeded", "level": "rate-limited", "full": "gateway full"}
+_HEADERS = [(b":method", b"POST"), (b":scheme", b"http"), (b":authority", b"worker"),
+            (b"content-type", b"application/grpc+proto"), (b"user-agent", b"swiftchute-standin")]  # fmt: skip
+_PLUMBING = {
+    "connections": 2, "streams": 100, "first": 100, "waiting": 200, "idle": 60 * S, "silent": 60 * S,
+    "connect_within": S, "message_most": 2**20, "drain": 0,
+}  # fmt: skip
 
 
 @dataclass(frozen=True)
@@ -96,11 +105,11 @@
         answer earns; the others as `Link`'s."""
         super().__init__(client, planners, seed, redial, keepalive)
         self.worth = worth or {}
-        self.avoids_after = avoids_after
         self.record = Record()
-        self.channels: dict[str, Channel] = {}
-        self.runs: dict[str, int] = {}
-        self.avoided: dict[str, float] = {}
+        limits = Limits(under_way=WAITING_MOST, avoid_after=avoids_after, try_part=1.0)
+        # a plain proxy does as its tables say, whatever the operation: the rules are the planner's to keep
+        self.core = Core(client, {}, limits, self.random.getrandbits(32), "idempotent")
+        self.proxy = _Recorded(self)
         self.count = 0
         self.reading = asyncio.Event()  # cleared: it stops reading its stream
         self.reading.set()
@@ -112,8 +121,16 @@
     async def stop(self) -> None:
         """End everything."""
         await super().stop()
-        for channel in self.channels.values():
-            channel.close()
+        await self.proxy.stop()
+
+    def start(self) -> None:
+        """Dial and go on until `stop`."""
+        self.core.changed()
+        super().start()
+
+    def applied(self) -> None:
+        """What was taken in holds from the next invocation on."""
+        self.core.changed()
 
     def opened(self, planner: str, stream: int) -> None:
         """Record a stream that opened."""
@@ -144,11 +161,11 @@
     # -- invocations
 
     async def load(self, operation: str, rate: float, seconds: float) -> None:
-        """Invocations at random, `rate` a second on average; at most 200 are in hand at once."""
+        """Invocations at random, `rate` a second on average; at most `WAITING_MOST` are in hand at once."""
         until = time.monotonic() + seconds
         while (now := time.monotonic()) < until:
             await asyncio.sleep(min(self.random.expovariate(rate), until - now + 0.001))
-            if self.waiting < 200:
+            if self.waiting < WAITING_MOST:
                 self.waiting += 1
                 task = asyncio.ensure_future(self.invoke(operation))
                 task.add_done_callback(self._done)
@@ -168,84 +185,38 @@
             self.record.earned += value if took <= objective else late * value
         return end
 
-    def pick(self, table: Table, but: set[str]) -> str | None:
-        """A line by weight, past those avoided while there are others."""
-        now = time.monotonic()
-        lines = {s: w for s, w in table.lines.items() if s not in but}
-        well = {s: w for s, w in lines.items() if self.avoided.get(s, 0) <= now} or lines
-        return self.random.choices(list(well), list(well.values()))[0] if well else None
-
-    async def table(self, operation: str) -> Table | None:
-        """What an operation's invocations follow now."""
-        return self.client.table(operation)
+    async def ready(self, operation: str) -> None:
+        """Let the core know an operation, if no listener has named it yet."""
+        if operation not in self.core.operations:
+            self.core.operations[operation] = Operation(operation, TIMEOUT, "idempotent")
+            self.core.changed()
 
-    async def invoke(self, operation: str, timeout: float = 4.0) -> str:
+    async def invoke(self, operation: str) -> str:
         """One invocation: returns how it ended."""
         self.count += 1
-        inv = f"{self.client.node}-{self.count}"
-        table = await self.table(operation)
-        if table is None or not table.lines:
+        began, inv = time.monotonic(), f"{self.client.node}-{self.count}"
+        await self.ready(operation)
+        body = f"{inv}|0|{self.client.node}".encode()
+        headers = [(b":path", (SERVICE + operation).encode()), *_HEADERS]
+        message = Message(0, headers, bytes(1) + len(body).to_bytes(4, "big") + body)
+        why, _ = await self.proxy.invoke(message, Asked(operation, True, None), inv, True)
+        if why == "no line":
             self.record.add(self.record.bare, (time.monotonic_ns(), self.client.node, operation))
-            return self._end("no line", operation)
-        if self.random.random() >= table.level:
-            self.client.dropped(table.cluster)
-            return self._end("rate-limited", operation)
-        tried: set[str] = set()
-        began = time.monotonic()
-        end, until = "errored", began + timeout
-        for attempt in range(table.tries + 1):
-            server = self.pick(table, tried)
-            if server is None or time.monotonic() >= until:
-                break
-            tried.add(server)
-            left = until - time.monotonic()
-            last = attempt == table.tries
-            end, ran = await self._try(
-                table.cluster,
-                server,
-                operation,
-                inv,
-                attempt,
-                left if last or not table.per_try else min(left, table.per_try),
-            )
-            if end == "succeeded" or (table.sure and ran):
-                break
-        return self._end(end, operation, time.monotonic() - began)
-
-    async def _try(
-        self, cluster: str, server: str, operation: str, inv: str, attempt: int, timeout: float
-    ) -> tuple[str, bool]:
-        """One try: how it ended, and whether it may have run (False only on proof: no connection was
-        made)."""
-        began, ran, end = time.monotonic(), False, "errored"
-        host, _, port = server.rpartition(":")
-        channel = self.channels.get(server)
-        if channel is None:
-            channel = self.channels[server] = Channel(host, int(port), codec=Raw())
-        at = time.monotonic_ns()
-        try:
-            async with asyncio.timeout(timeout):
-                await channel.__connect__()
-                ran = True
-                async with channel.request(
-                    SERVICE + operation, Cardinality.UNARY_UNARY, bytes, bytes, timeout=timeout
-                ) as stream:
-                    await stream.send_message(f"{inv}|{attempt}|{self.client.node}".encode(), end=True)
-                    await stream.recv_message()
-                    await stream.recv_trailing_metadata()
-                    end = "succeeded"
-        except GRPCError as why:
-            end = "full" if why.status is Status.RESOURCE_EXHAUSTED else "errored"
-        except TimeoutError:
-            end = "late"
-        except LOST:
-            end = "broken" if ran else "unreachable"
-        took = time.monotonic() - began
-        self.client.met(cluster, server, end == "succeeded", took)
-        self.runs[server] = 0 if end == "succeeded" else self.runs.get(server, 0) + 1
-        if self.avoids_after and self.runs[server] >= self.avoids_after:
-            self.runs[server], self.avoided[server] = 0, time.monotonic() + AVOID
-        self.record.add(
-            self.record.tries, Try(at, self.client.node, server, operation, inv, attempt, end, took)
-        )
-        return end, ran
+        return self._end(ENDS.get(why, why), operation, time.monotonic() - began)
+
+
+class _Recorded(Proxy):
+    """The proxy that a stand-in's invocations go through; its tries are recorded as they were sent."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        super().__init__(gateway.core, _PLUMBING)
+        self.gateway = gateway
+
+    def told(self, inv: Invocation, end: End) -> None:
+        """Record a try, as of when it was written; one that was withdrawn before that is none."""
+        if end is WITHDRAWN:
+            return
+        at, kind = inv.sent or inv.began, ENDS.get(end.kind, end.kind)
+        row = Try(at, self.gateway.client.node, inv.server or "", inv.operation.name, inv.key, inv.attempt,
+                  kind, (self.clock() - at) / S)  # fmt: skip
+        self.gateway.record.add(self.gateway.record.tries, row)
--- a/swiftchute/standin/resolver.py
+++ b/swiftchute/standin/resolver.py
@@ -17,7 +17,8 @@
 import dns.rdatatype
 
 from swiftchute.proxy.ads import Client, Table
-from swiftchute.standin.gateway import Gateway
+from swiftchute.proxy.core import Operation
+from swiftchute.standin.gateway import TIMEOUT, Gateway
 
 WAIT = 0.5  # seconds for an answer
 FAILED = 0.2  # seconds that a failure is kept
@@ -106,24 +107,29 @@
         return Cached(tuple(lines), time.monotonic() + rows.ttl + self.overstay, upstream)
 
 
-def pick(lines: tuple[Line, ...], chance: random.Random, but: set[str]) -> str | None:
-    """The next line to try: of the lowest priority, by weight (RFC 2782's running sum)."""
-    left = [line for line in lines if line.server not in but]
-    if not left:
-        return None
-    least = min(line.priority for line in left)
-    row = sorted((line for line in left if line.priority == least), key=lambda line: line.weight > 0)
-    at = chance.randint(0, sum(line.weight for line in row))
-    for line in row:
-        at -= line.weight
-        if at <= 0:
-            return line.server
-    return row[-1].server
+class Srv:
+    """Picks by RFC 2782: of the lowest priority, by its running sum of weights."""
+
+    def __init__(self, lines: tuple[Line, ...]) -> None:
+        """At least one line."""
+        least = min(line.priority for line in lines)
+        self.servers = tuple(line.server for line in lines)
+        self.row = sorted((x for x in lines if x.priority == least), key=lambda line: line.weight > 0)
+        self.total = sum(line.weight for line in self.row)
+
+    def pick(self, chance: random.Random) -> str:
+        """A server."""
+        at = chance.randint(0, self.total)
+        for line in self.row:
+            at -= line.weight
+            if at <= 0:
+                return line.server
+        return self.row[-1].server
 
 
 class Caller(Gateway):
     """A client by DNS in a gateway's place: its table is its resolver's answer; it sheds nothing and tries
-    again only where no connection was made."""
+    again only after proof that the first never ran."""
 
     def __init__(self, node: str, zone: str, rate: float, resolver: Resolver, seed: int, worth: dict) -> None:
         """`rate` invocations a second come to it."""
@@ -136,27 +142,31 @@
     def start(self) -> None:
         """It dials nobody."""
 
-    async def table(self, operation: str) -> Table | None:
-        """The answer of now as a table."""
+    async def ready(self, operation: str) -> None:
+        """Take the answer of now for the operation's table."""
         held = await self.resolver.lookup(operation)
-        if held is not self.last.get(operation):
-            self.last[operation] = held
-            ways = {f"{kept.upstream[0]}:{kept.upstream[1]}" for kept in self.last.values() if kept.lines}
-            if len(ways) == 1 and self.joined not in ways:  # none of its answers is another planner's now
-                # by whose answers it goes: to the checker that is the planner it is joined to
-                if self.joined:
-                    self.closed(self.joined, self.streams)
-                self.streams += 1
-                self.joined = ways.pop()
-                self.opened(self.joined, self.streams)
-            self.record.add(self.answers, (time.monotonic_ns(), operation, bool(held.lines)))
+        if held is self.last.get(operation):
+            return
+        self.last[operation] = held
+        self.core.operations.setdefault(operation, Operation(operation, TIMEOUT, "idempotent"))
+        self.core.tables.pop(operation, None)
+        if held.lines:
+            lines = {line.server: line.weight for line in held.lines}
+            self.core.tables[operation] = (Table(f"dns/{operation}", lines, 1.0, 1), Srv(held.lines))
+        ways = {f"{kept.upstream[0]}:{kept.upstream[1]}" for kept in self.last.values() if kept.lines}
+        if len(ways) == 1 and self.joined not in ways:  # none of its answers is another planner's now
+            # by whose answers it goes: to the checker that is the planner it is joined to
+            if self.joined:
+                self.closed(self.joined, self.streams)
+            self.streams += 1
+            self.joined = ways.pop()
+            self.opened(self.joined, self.streams)
+        self.record.add(self.answers, (time.monotonic_ns(), operation, bool(held.lines)))
         if not held.lines:
-            return None
-        return Table(f"dns/{operation}", {line.server: line.weight for line in held.lines}, 1.0, 1, True)
-
-    def pick(self, table: Table, but: set[str]) -> str | None:
-        """By RFC 2782, past those it avoids while there are others."""
-        now = time.monotonic()
-        avoided = {s for s, until in self.avoided.items() if until > now}
-        lines = self.last[table.cluster.partition("/")[2]].lines
-        return pick(lines, self.random, but | avoided) or pick(lines, self.random, but)
+            # it asks again: else a rare operation would look bare until its next invocation
+            self.tasks = [task for task in self.tasks if not task.done()]
+            self.tasks.append(asyncio.ensure_future(self._later(operation)))
+
+    async def _later(self, operation: str) -> None:
+        await asyncio.sleep(FAILED)
+        await self.ready(operation)
--- a/tests/test_dns_sockets.py
+++ b/tests/test_dns_sockets.py
@@ -19,7 +19,7 @@
 from swiftchute.daemon.service import CannotListen, Service
 from swiftchute.observe.log import setup
 from swiftchute.policy import Planner
-from swiftchute.standin.resolver import Line, pick
+from swiftchute.standin.resolver import Line, Srv
 
 ORIGIN = "lots.example."
 SRV = "_lot-estimate._tcp.lots.example."
@@ -171,7 +171,8 @@
         assert len(set(table.values())) > 2
         names = {r: str(r.target).partition(".")[0][3:].replace("-", ".") for r in rows}
         lines = tuple(Line(r.priority, r.weight, f"{names[r]}:{r.port}") for r in rows)
-        picks = [pick(lines, chance, set()) for _ in range(20_000)]
+        picker = Srv(lines)
+        picks = [picker.pick(chance) for _ in range(20_000)]
         expected = {n: 20_000 * w / sum(table.values()) for n, w in table.items()}
         assert stats.chisquare([picks.count(n) for n in expected], list(expected.values())).pvalue > 1e-4
 
