--- a/swiftchute/cli/main.py
+++ b/swiftchute/cli/main.py
@@ -133,6 +133,10 @@
         result = uvloop.run(Runner(DAYS[day], seed, keep or folder, say=click.echo).run())
     verdicts = judge(result.evidence)
     click.echo(report.text(result, verdicts))
+    if day == "steady":
+        from swiftchute.drill.predict import shares
+
+        click.echo(shares(result.evidence).line)
     if out:
         report.write(out, day, seed, result, verdicts)
     sys.exit(1 if report.broken(result, verdicts) else 0)
--- a/swiftchute/drill/day.py
+++ b/swiftchute/drill/day.py
@@ -147,6 +147,10 @@
         tables={"canary_part": 0.25, "canary_for": "2s", "canary_most": "15s"},
     ),
     "quiet": Day("nothing happens", 10.0, ()),
+    "steady": Day(
+        "nothing happens, for long: tries by server against what the tables in force predict",
+        30.0, (_t(4, "note", "begin"), _t(29, "note", "end"), _t(29, "compare", "begin", "end")), gateways=12,
+        rate=8.0),
     "half-push": Day(
         "a planner is killed while half of a push is out, and returns while a deploy goes on",
         16.0,
--- a/swiftchute/proxy/core.py
+++ b/swiftchute/proxy/core.py
@@ -105,6 +105,7 @@
         self.budget = Budget(limits.try_part, limits.try_least)
         self.tables: dict[str, tuple[Table, Picker]] = {}
         self.shut: set[str] = set()
+        self.named: set[str] = set()  # servers of any table
         self.under_way = 0
         self.at: Counter[str] = Counter()  # under way by server
         self.ends: Counter[str] = Counter()
@@ -115,7 +116,7 @@
     def changed(self) -> None:
         """Take over what the client holds now; a table that stayed the same keeps its picker."""
         self.shut = self.client.shut()
-        named: set[str] = set()
+        named = self.named = set()
         for name in self.client.held[names.LDS]:
             if name not in self.operations:
                 self.operations[name] = Operation(name, TIMEOUT, self.unknown)
@@ -124,7 +125,7 @@
             if table is None or not table.lines:
                 self.tables.pop(name, None)
                 continue
-            named |= table.lines.keys()
+            named.update(table.lines)
             kept = self.tables.get(name)
             if kept is None or kept[0].lines != table.lines:
                 self.tables[name] = (table, self._picker(table.lines))
@@ -141,9 +142,7 @@
 
     def withdrawn(self, server: str) -> bool:
         """Whether nothing may go there any more, whatever table an invocation began with."""
-        if server in self.shut:
-            return True
-        return not any(server in table.lines for table, _ in self.tables.values())
+        return server in self.shut or server not in self.named
 
     # -- invocations
 
@@ -185,7 +184,10 @@
         avoided = self.avoided.now(now)
         if self.limits.server:
             avoided |= {s for s, many in self.at.items() if many >= self.limits.server}
-        gone = inv.tried | {s for s in inv.picker.servers if self.withdrawn(s)}
+        gone = inv.tried
+        held = self.tables.get(inv.operation.name)
+        if held is None or held[1] is not inv.picker:  # the table of now names nobody who is withdrawn
+            gone = gone | {s for s in inv.picker.servers if self.withdrawn(s)}
         server = choose(inv.picker, self.random, gone, avoided)
         if server is None:
             return None
--- a/swiftchute/proxy/shell.py
+++ b/swiftchute/proxy/shell.py
@@ -374,10 +374,9 @@
     async def _look(self) -> None:
         while True:
             await asyncio.sleep(CHECK)
-            named = {s for table, _ in self.core.tables.values() for s in table.lines}
             for key, upstream in list(self.upstreams.items()):
                 upstream.look(self.plumbing["silent"])
-                if key[0] not in named and not upstream.pool.lines and not upstream.waiters:
+                if key[0] not in self.core.named and not upstream.pool.lines and not upstream.waiters:
                     upstream.close()
                     del self.upstreams[key]
             late = self.clock() - self.plumbing["idle"]
--- a/swiftchute/standin/resolver.py
+++ b/swiftchute/standin/resolver.py
@@ -153,6 +153,7 @@
         if held.lines:
             lines = {line.server: line.weight for line in held.lines}
             self.core.tables[operation] = (Table(f"dns/{operation}", lines, 1.0, 1), Srv(held.lines))
+        self.core.named = {s for table, _ in self.core.tables.values() for s in table.lines}
         ways = {f"{kept.upstream[0]}:{kept.upstream[1]}" for kept in self.last.values() if kept.lines}
         if len(ways) == 1 and self.joined not in ways:  # none of its answers is another planner's now
             # by whose answers it goes: to the checker that is the planner it is joined to
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -15,6 +15,7 @@
 from swiftchute.dns import front, lease
 from swiftchute.drill.checker import judge
 from swiftchute.drill.day import DAYS, Runner, Trouble
+from swiftchute.drill.predict import shares
 from swiftchute.drill.report import broken, text
 from swiftchute.drill.sabotage import SABOTEURS, Bent, Oscillates, cases
 from swiftchute.policy import Planner
@@ -158,6 +159,15 @@
     assert all(text.startswith("dns-") for text in found.broken)
 
 
+def test_tries_go_where_the_tables_in_force_say(played):
+    """And a proxy that favours one server is caught: its tries of a server here are told as another's."""
+    evidence = played["queue", "kept"][0].evidence  # a day on which nobody is avoided
+    assert shares(evidence).chance > 1e-4
+    favoured = evidence.tries[0].server
+    bent = [replace(t, server=favoured) if k % 5 == 0 else t for k, t in enumerate(evidence.tries)]
+    assert shares(replace(evidence, tries=bent)).chance < 1e-6
+
+
 def test_the_days_hold_what_their_rules_look_at(played):
     """A verdict of a day that holds nothing to look at would say nothing."""
     assert any(t.state == "draining" for t in played["drain", "kept"][0].evidence.told)
