--- a/swiftchute/cli/main.py
+++ b/swiftchute/cli/main.py
@@ -105,10 +105,16 @@
 @click.option("--json", "out", type=click.Path(dir_okay=False), help="Write the verdicts to a file.")
 @click.option("--keep", type=click.Path(file_okay=False), help="Keep settings, list and logs in this folder.")
 @click.option("--bad-day/--no-bad-day", default=True, help="With sabotage: also among the bad day's faults.")
-def drill(day: str | None, listed: bool, seed: int, out: str | None, keep: str | None, bad_day: bool) -> None:
+@click.option(
+    "--troubles", default=2, show_default=True, type=click.IntRange(1, 6), help="With drawn: how many."
+)
+def drill(
+    day: str | None, listed: bool, seed: int, out: str | None, keep: str | None, bad_day: bool, troubles: int
+) -> None:
     """Play a scripted day of stand-ins on this machine through real planners, and judge the five rules.
 
-    `sabotage` plays deciders that each do one thing wrong, without the guard and under it.
+    DAY is a name, a script in HCL, `drawn` (troubles by chance, from the seed; its script is printed first),
+    or `sabotage` (deciders that each do one thing wrong, without the guard and under it).
     """
     import tempfile
 
@@ -117,20 +123,32 @@
     from swiftchute.drill import report
     from swiftchute.drill.checker import judge
     from swiftchute.drill.day import DAYS, Runner
+    from swiftchute.drill.troubles import KINDS, drawn, script
+    from swiftchute.drill.troubles import load as load_day
 
     if listed or day is None:
         for name, known in DAYS.items():
             click.echo(f"{name:10} {known.seconds:3.0f} s  {known.about}")
+        click.echo("drawn       30 s  troubles by chance, from the seed")
+        click.echo("FILE.hcl          a script of your own; kinds of trouble:")
+        for name, kind in KINDS.items():
+            click.echo(f"    {name:16} {kind.about} ({', '.join(kind.fields)})")
         click.echo("sabotage          deciders that each do one thing wrong, without the guard and under it")
         sys.exit(0 if listed else 2)
     if day == "sabotage":
         sys.exit(_sabotage(seed, bad_day))
-    if day not in DAYS:
+    found = DAYS.get(day)
+    if day == "drawn":
+        found = drawn(seed, troubles)
+        click.echo(script(found))
+    elif day.endswith(".hcl"):
+        found = _load(day, load_day)
+    if found is None:
         click.echo(f"swiftchute: no day {day!r}; there are {', '.join(DAYS)}", err=True)
         sys.exit(2)
     with tempfile.TemporaryDirectory() as folder:
         os.makedirs(keep or folder, exist_ok=True)
-        result = uvloop.run(Runner(DAYS[day], seed, keep or folder, say=click.echo).run())
+        result = uvloop.run(Runner(found, seed, keep or folder, say=click.echo).run())
     verdicts = judge(result.evidence)
     click.echo(report.text(result, verdicts))
     if day == "steady":
--- a/swiftchute/drill/day.py
+++ b/swiftchute/drill/day.py
@@ -231,6 +231,7 @@
     fell: list[str]
     lost: int = 0
     notes: list[str] = field(default_factory=list)  # what troubles have to say of themselves
+    failed: list[str] = field(default_factory=list)  # troubles that raised: the day was not played as written
 
 
 class Runner:
@@ -269,6 +270,8 @@
         self.dead: list[Worker] = []
         self.tasks: list[asyncio.Task] = []
         self.list = os.path.join(folder, "workers.json")
+        self.ghosts: list[tuple[str, str]] = []  # listed, with nobody there
+        self.stale = False  # the list is not written
 
     # -- the list
 
@@ -292,6 +295,10 @@
                         },
                     }
                 )
+        for address, zone in self.ghosts:
+            groups.append({"targets": [address], "labels": {"zone": zone, "kind": "std", "state": "ready"}})
+        if self.stale:
+            return
         with open(self.list + ".new", "w", encoding="utf-8") as out:
             json.dump(groups, out)
         os.replace(self.list + ".new", self.list)
@@ -518,7 +525,12 @@
             frozenset(n for n, c in self._callers().items() if c.resolver.overstay),
         )
         fell = [w.address for w in self.workers for _ in w.fell]
-        return Result(evidence, ends, 0, [], fell, sum(r.lost for r in records), self.notes)
+        failed = [
+            repr(task.exception())
+            for task in self.tasks
+            if task.done() and not task.cancelled() and task.exception() is not None
+        ]
+        return Result(evidence, ends, 0, [], fell, sum(r.lost for r in records), self.notes, failed)
 
     def _callers(self) -> dict[str, Caller]:
         return {g.client.node: g for g in self.gateways if isinstance(g, Caller)}
@@ -687,6 +699,203 @@
         for (one, two), what in zip(spans, ("before", "bad tables", "going back", "after"), strict=True):
             self.notes.append(f"{what}: {self._between(one, two)}")
 
+    # -- troubles by the names of `drill.troubles`
+
+    async def _back_cold(self, struck: list[Worker]) -> None:
+        """Those that are down start cold; the list tells of it later."""
+        for w in struck:
+            if w.server is None:
+                await w.start(cold=True)
+        await asyncio.sleep(LIST_LATE)
+        for w in struck:
+            if w.server is not None:
+                self.tell(w, "ready", int(w.started * S))
+
+    async def _down(self, struck: list[Worker]) -> None:
+        """They die; the list drops them later."""
+        for w in struck:
+            await w.die()
+        await asyncio.sleep(LIST_LATE)
+        for w in struck:
+            if w.server is None:
+                self.tell(w, "gone")
+
+    async def crash(self, share: float, lasts: float) -> None:
+        """Workers die at once and come back cold."""
+        struck = self._some(share)
+        await self._down(struck)
+        await asyncio.sleep(max(lasts - LIST_LATE, 0))
+        await self._back_cold(struck)
+
+    async def rolling(self, count: int, every: float) -> None:
+        """A rolling deploy."""
+        await self.deploy(count, every)
+
+    async def _mode(self, struck: list[Worker], mode: str, lasts: float) -> None:
+        for w in struck:
+            w.mode = mode
+        await asyncio.sleep(lasts)
+        for w in struck:
+            if w.mode == mode:
+                w.mode = "well"
+
+    async def hang(self, share: float, lasts: float) -> None:
+        """Workers take invocations and answer none."""
+        await self._mode(self._some(share), "hang", lasts)
+
+    async def errors(self, share: float, lasts: float) -> None:
+        """Workers quickly fail what they take."""
+        await self._mode(self._some(share), "fail", lasts)
+
+    async def silence(self, share: float, lasts: float) -> None:
+        """Workers read nothing and close nothing; then they restart cold."""
+        struck = self._some(share)
+        for w in struck:
+            w.mute()
+        await asyncio.sleep(lasts)
+        await self._down(struck)
+        await self._back_cold(struck)
+
+    async def _factor(self, struck: list[Worker], factor: float) -> None:
+        for w in struck:
+            w.factor = factor
+
+    async def slow(self, share: float, factor: float, lasts: float) -> None:
+        """Workers run several times slower."""
+        struck = self._some(share)
+        await self._factor(struck, factor)
+        await asyncio.sleep(lasts)
+        await self._factor(struck, 1.0)
+
+    async def pauses(self, share: float, length: float, every: float, lasts: float) -> None:
+        """Workers stand still for a moment, again and again."""
+        struck, end = self._some(share), time.monotonic() + lasts
+        while time.monotonic() < end:
+            for w in struck:
+                w.pause(length)
+            await asyncio.sleep(every)
+
+    async def neighbour(self, share: float, part: float, lasts: float) -> None:
+        """Another program takes a part of the machine, on and off."""
+        struck, end = self._some(share), time.monotonic() + lasts
+        while time.monotonic() < end:
+            await self._factor(struck, 1 / (1 - part))
+            await asyncio.sleep(self.random.uniform(0.5, 1.5))
+            await self._factor(struck, 1.0)
+            await asyncio.sleep(self.random.uniform(0.3, 1.0))
+
+    async def ageing(self, share: float, factor: float, lasts: float) -> None:
+        """Workers get slower and slower, and then restart cold, announced."""
+        struck, begin = self._some(share), time.monotonic()
+        while (past := time.monotonic() - begin) < lasts:
+            await self._factor(struck, 1 + (factor - 1) * past / lasts)
+            await asyncio.sleep(0.25)
+        await self._factor(struck, 1.0)
+
+    async def flapping(self, share: float, times: int, lasts: float) -> None:
+        """Workers go and come, again and again."""
+        struck = self._some(share)
+        for _ in range(times):
+            await self._down(struck)
+            await asyncio.sleep(max(lasts - LIST_LATE, 0))
+            await self._back_cold(struck)
+            await asyncio.sleep(lasts)
+
+    async def shrink(self, share: float, lasts: float) -> None:
+        """The fleet shrinks: one after the other drains, and then goes."""
+        struck = self._some(share)
+        for w in struck:
+            self.tell(w, "draining")
+            self.tasks.append(asyncio.ensure_future(self._leave(w)))
+            await asyncio.sleep(lasts / len(struck))
+
+    async def _leave(self, w: Worker) -> None:
+        await asyncio.sleep(self.day.grace + 0.5)
+        await w.die()
+        self.tell(w, "gone")
+
+    async def grow(self, count: int) -> None:
+        """Workers are added, cold."""
+        made = []
+        for _ in range(count):
+            seed, speed = self.random.getrandbits(32), self.random.uniform(0.85, 1.2)
+            w = Worker(self.workers[0].facts, self.random.choice(ZONES), speed, seed)
+            await w.start(cold=True, host=self.host)
+            self.workers.append(w)
+            self.states[w.address] = ("gone", 0)
+            made.append(w)
+        await asyncio.sleep(LIST_LATE)
+        for w in made:
+            self.tell(w, "ready", int(w.started * S))
+
+    async def mass_restart(self, zone: str, lasts: float) -> None:
+        """All workers of a zone restart at once."""
+        struck = [w for w in self.workers if w.zone == zone and w.server is not None]
+        await self._down(struck)
+        await asyncio.sleep(max(lasts - LIST_LATE, 0))
+        await self._back_cold(struck)
+
+    async def wrong_list(self, how: str, share: float, lasts: float) -> None:
+        """The list misses servers that work, is empty, names some that are not, or stands still."""
+        struck = self._some(share)
+        if how == "gone":
+            for w in struck:
+                self.tell(w, "gone")
+            await asyncio.sleep(lasts)
+            for w in struck:
+                if w.server is not None and self.states[w.address][0] == "gone":
+                    self.tell(w, "ready")
+        elif how == "ghosts":
+            self.ghosts = [(f"{self.host}:{k + 1}", w.zone) for k, w in enumerate(struck)]
+            self.publish()
+            await asyncio.sleep(lasts)
+            self.ghosts = []
+            self.publish()
+        elif how == "old":
+            self.stale = True
+            await asyncio.sleep(lasts)
+            self.stale = False
+            self.publish()
+        else:
+            with open(self.list + ".new", "w", encoding="utf-8") as out:
+                out.write("[]")
+            os.replace(self.list + ".new", self.list)
+            await asyncio.sleep(lasts)
+            self.publish()
+
+    async def planner_dies(self, planner: int, lasts: float) -> None:
+        """A planner dies and comes back with its list alone."""
+        planner %= len(self.planners)
+        if planner not in self.down:
+            await self.kill(planner)
+            await asyncio.sleep(lasts)
+            await self.return_planner(planner)
+
+    async def planner_stalls(self, planner: int, lasts: float) -> None:
+        """A planner stands still."""
+        await self.freeze(planner % len(self.planners), lasts)
+
+    async def unreached(self, share: float, lasts: float) -> None:
+        """Gateways reach no planner."""
+        await self.lose_planners(share, lasts)
+
+    async def late_channel(self, delay: float, pace: float, lasts: float) -> None:
+        """What passes between gateways and planners is late and slow."""
+        await self.slow_channel(delay, pace, lasts)
+
+    def streams_break(self, share: float) -> None:
+        """Streams break at once."""
+        self.cut(share)
+
+    async def gateways_die(self, share: float, lasts: float) -> None:
+        """Gateways die, and come back with their standing tables alone."""
+        struck = [self.gateways[k] for k in self._gateways(share)]
+        for g in struck:
+            await g.die()
+        await asyncio.sleep(lasts)
+        for g in struck:
+            g.start()
+
     async def freeze(self, planner: int, seconds: float) -> None:
         """A planner stands still."""
         since = time.monotonic_ns()
--- a/swiftchute/drill/report.py
+++ b/swiftchute/drill/report.py
@@ -9,8 +9,8 @@
 
 
 def broken(result: Result, verdicts: list[Verdict]) -> bool:
-    """Whether a rule broke, or a replayed order changed anything."""
-    return bool(result.changed) or any(v.broken for v in verdicts)
+    """Whether a rule broke, a replayed order changed anything, or a trouble was not played."""
+    return bool(result.changed or result.failed) or any(v.broken for v in verdicts)
 
 
 def text(result: Result, verdicts: list[Verdict]) -> str:
@@ -24,6 +24,7 @@
     lines.append(f"orders delivered again: {result.replayed}, {changed}")
     lines.append(f"invocations (stand-ins on one machine): {ends}")
     lines += result.notes
+    lines += [f"trouble that failed: {why}" for why in result.failed]
     if result.fell:
         lines.append(f"workers that fell over: {', '.join(result.fell)}")
     if result.lost:
@@ -44,6 +45,7 @@
         "fell": result.fell,
         "lost": result.lost,
         "notes": result.notes,
+        "failed": result.failed,
     }
     with open(path, "wb") as out:
         out.write(msgspec.json.format(msgspec.json.encode(found), indent=2) + b"\n")
--- a/swiftchute/standin/gateway.py
+++ b/swiftchute/standin/gateway.py
@@ -128,6 +128,15 @@
         self.core.changed()
         super().start()
 
+    async def die(self) -> None:
+        """Its process is gone, and with it its tables; `start` brings it back with its standing table."""
+        await super().stop()
+        client = self.client
+        fresh = Client(client.node, client.zone, client.rate, client.delta, client.lines, client.refuses)
+        fresh.standing = client.standing
+        self.client = self.core.client = fresh
+        self.core.changed()
+
     def applied(self) -> None:
         """What was taken in holds from the next invocation on."""
         self.core.changed()
--- a/swiftchute/standin/worker.py
+++ b/swiftchute/standin/worker.py
@@ -64,6 +64,7 @@
         self.started: float | None = None  # monotonic seconds of a cold start; None: warm long since
         self.mode = "well"  # "hang", "fail" (before it runs), "fail late" (after)
         self.factor = 1.0
+        self.still = 0.0  # until when it stands still
         self.fell: list[float] = []
         self.held = 0
         self.recent: deque[tuple[float, float]] = deque()
@@ -97,6 +98,17 @@
             server.break_all()
             server.close()
 
+    def mute(self) -> None:
+        """Read nothing more on what is open, and answer nothing on what comes."""
+        self.mode = "hang"
+        for protocol in list(self.server.made) if self.server is not None else ():
+            if protocol.connection is not None and not protocol.connection.is_closing():
+                protocol.connection._transport.pause_reading()
+
+    def pause(self, length: float) -> None:
+        """Stand still for so long: nothing that runs goes on."""
+        self.still = max(self.still, time.monotonic() + length)
+
     def capacity(self, now: float) -> float:
         """The share of its full capacity that it has now."""
         if self.started is None:
@@ -157,6 +169,8 @@
                 if self.mode == "fail late":
                     raise GRPCError(Status.INTERNAL, "failed after it ran")
                 await asyncio.sleep(work * self.factor / (self.speed * self.capacity(time.monotonic())))
+                while (left := self.still - time.monotonic()) > 0:
+                    await asyncio.sleep(left)
         finally:
             if cores is self.cores:
                 self.held -= 1
--- /dev/null
+++ b/tests/test_troubles.py
@@ -0,0 +1,62 @@
+"""Troubles as scripts: what is drawn can be written and read back, what is wrong is told, each kind acts."""
+
+import inspect
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from swiftchute.config.schema import BadConfig
+from swiftchute.drill.checker import Evidence
+from swiftchute.drill.day import Result, Runner
+from swiftchute.drill.report import broken
+from swiftchute.drill.troubles import KINDS, drawn, load, script
+
+
+@given(seed=st.integers(0, 10_000), count=st.integers(1, 6))
+@hypothesis_settings(max_examples=60, deadline=None, derandomize=True)
+def test_a_drawn_day_is_read_back_from_its_script(tmp_path_factory, seed, count):
+    day = drawn(seed, count)
+    path = tmp_path_factory.mktemp("days") / "day.hcl"
+    path.write_text(script(day))
+    found = load(str(path))
+    assert [(t.at, t.what) for t in found.troubles] == [(t.at, t.what) for t in day.troubles]
+    for one, two in zip(found.troubles, day.troubles, strict=True):
+        for a, b in zip(one.args, two.args, strict=True):
+            assert a == (b if isinstance(b, str) else pytest.approx(b))
+    assert (found.seconds, found.workers, found.gateways) == (day.seconds, day.workers, day.gateways)
+    assert len({t.what for t in day.troubles}) == count
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_each_kind_is_something_a_drill_can_do_with_just_its_fields(kind):
+    parameters = list(inspect.signature(getattr(Runner, kind)).parameters)[1:]
+    assert parameters == list(KINDS[kind].fields)
+
+
+@pytest.mark.parametrize(
+    ("text", "line", "told"),
+    [
+        ('trouble "slow" {\n  share = 2\n}\n', 2, "trouble slow.share: 2 is out of range: 0 to 1"),
+        ('trouble "slow" {\n  lasts = 5\n}\n', 2, "trouble slow.lasts: 5 is not a duration"),
+        ('\ntrouble "quake" {\n}\n', 2, "trouble quake: unknown"),
+        ('trouble "mass_restart" {\n  zone = "mars"\n}\n', 2, "'mars' is none of north, south, west"),
+        ("drill {\n  wokers = 3\n}\n", 2, "drill.wokers: unknown; known here"),
+        ("seconds = 3\n", 1, "seconds: unknown here"),
+    ],
+)
+def test_what_is_wrong_in_a_script_is_told_with_its_line_field_and_cause(tmp_path, text, line, told):
+    path = tmp_path / "day.hcl"
+    path.write_text(text)
+    with pytest.raises(BadConfig) as found:
+        load(str(path))
+    (problem,) = found.value.problems
+    assert problem.line == line
+    assert told in str(problem)
+
+
+def test_a_day_whose_trouble_raised_is_no_good_day():
+    evidence = Evidence(None, [], [], [], [], [], {}, {})
+    assert not broken(Result(evidence, {}, 0, [], []), [])
+    assert broken(Result(evidence, {}, 0, [], [], failed=["ValueError()"]), [])
