--- a/swiftchute/cli/main.py
+++ b/swiftchute/cli/main.py
@@ -186,6 +186,32 @@
     return 1 if wrong else 0
 
 
+@main.command("search")
+@click.option("--seed", default=1000, show_default=True, help="Of the first day; the others follow.")
+@click.option("--days", default=8, show_default=True, type=click.IntRange(1, 1000))
+@click.option("--troubles", default=3, show_default=True, type=click.IntRange(1, 6), help="A day.")
+@click.option("--plays", default=12, show_default=True, help="At most, to cut a broken day down.")
+@click.option("--out", type=click.Path(dir_okay=False), help="Write the worst day's script to this file.")
+def search_days(seed: int, days: int, troubles: int, plays: int, out: str | None) -> None:
+    """Draw days of troubles, look for a broken rule or the nearest to one, and cut that day down."""
+    from swiftchute.drill.search import search
+    from swiftchute.drill.troubles import script
+
+    found, small, took = search(seed, days, troubles, plays)
+    for played in found:
+        kinds = ", ".join(t.what for t in played.day.troubles)
+        told = ", ".join(played.rules) or ("a trouble failed" if played.failed else "kept")
+        click.echo(f"seed {played.seed}: {told}, nearest {played.nearest:.2f} of a limit ({kinds})")
+    if small is not None:
+        click.echo(f"cut down in {took} plays:")
+    worst = script(small or found[0].day)
+    click.echo(worst, nl=False)
+    if out:
+        with open(out, "w", encoding="utf-8") as file:
+            file.write(worst)
+    sys.exit(1 if small is not None else 0)
+
+
 @main.group()
 def guard() -> None:
     """The guard against bad tables."""
--- a/swiftchute/drill/troubles.py
+++ b/swiftchute/drill/troubles.py
@@ -17,7 +17,7 @@
       lasts  = "8s"
     }
 
-Each kind is a method of `day.Runner` of that name. Bounds are those of the users' incident records, with
+Each kind is a method of `acts.Acts` of that name. Bounds are those of the users' incident records, with
 times cut to what a drill lasts; all act on stand-ins' processes and sockets, never inside a planner.
 """
 
@@ -28,7 +28,8 @@
 
 from swiftchute.config.reader import Problem, read
 from swiftchute.config.schema import BadConfig, Check, number, one_of, span
-from swiftchute.drill.day import DAYS, ZONES, Day, Trouble
+from swiftchute.drill.acts import ZONES
+from swiftchute.drill.day import DAYS, Day, Trouble
 
 S = 1_000_000_000
 
--- a/swiftchute/proxy/shell.py
+++ b/swiftchute/proxy/shell.py
@@ -258,14 +258,19 @@
             self.wire = Http2(False, most, self.proxy.plumbing["streams"]) if second else Http1(False, most)
             self.wire.start()
             data, self.first = bytes(self.first), bytearray()
+        self._move(lambda: self._all(self.wire.feed(data)))
+
+    def _move(self, act: Callable[[], None]) -> None:
+        """Do something on the wire and write what comes of it; a peer that breaks the protocol is left."""
         try:
-            self._all(self.wire.feed(data))
+            act()
         except Broken:
             self._flush()
             self.transport.close()
             return
         self._flush()
-        self._end_if_done()
+        if self.wire.closing and not self.tasks and not self.transport.is_closing():
+            self.transport.close()
 
     def _all(self, events: list[Any]) -> None:
         for event in events:
@@ -284,27 +289,18 @@
         self.tasks.pop(message.number, None)
         if self.transport.is_closing():
             return
-        reply = Message(message.number, made.headers, made.body, made.trailers)
-        try:
-            self.wire.send(reply)
-            if not second:
-                self._all(self.wire.more())
-        except Broken:
-            self._flush()
-            self.transport.close()
-            return
-        self._flush()
-        self._end_if_done()
+        self._move(lambda: self._reply(Message(message.number, made.headers, made.body, made.trailers)))
+
+    def _reply(self, message: Message) -> None:
+        self.wire.send(message)
+        if isinstance(self.wire, Http1):
+            self._all(self.wire.more())  # what came meanwhile
 
     def _flush(self) -> None:
         data = self.wire.out()
         if data and not self.transport.is_closing():
             self.transport.write(data)
 
-    def _end_if_done(self) -> None:
-        if self.wire.closing and not self.tasks and not self.transport.is_closing():
-            self.transport.close()
-
     def pause_writing(self) -> None:
         self.transport.pause_reading()  # a caller that does not read asks for nothing more
 
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -1,6 +1,7 @@
 """Troubles as scripts: what is drawn can be written and read back, what is wrong is told, each kind acts."""
 
 import inspect
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
@@ -8,9 +9,10 @@
 from hypothesis import strategies as st
 
 from swiftchute.config.schema import BadConfig
-from swiftchute.drill.checker import Evidence
-from swiftchute.drill.day import Result, Runner
+from swiftchute.drill.checker import Evidence, Verdict
+from swiftchute.drill.day import Result, Runner, Trouble
 from swiftchute.drill.report import broken
+from swiftchute.drill.search import Played, nearest, shrink, worst_first
 from swiftchute.drill.troubles import KINDS, drawn, load, script
 
 
@@ -60,3 +62,31 @@
     evidence = Evidence(None, [], [], [], [], [], {}, {})
     assert not broken(Result(evidence, {}, 0, [], []), [])
     assert broken(Result(evidence, {}, 0, [], [], failed=["ValueError()"]), [])
+
+
+def test_a_broken_day_is_cut_down_to_what_matters():
+    """What breaks here is a hang of two seconds or more beside a planner that dies."""
+    day = drawn(5, 6)
+    hang, dies = Trouble(3.0, "hang", (0.2, 9.0)), Trouble(4.0, "planner_dies", (0, 8.0))
+    day = replace(day, troubles=(hang, *day.troubles[:3], dies, *day.troubles[3:]))
+
+    def breaks(less):
+        kinds = {t.what: t.args for t in less.troubles}
+        return "planner_dies" in kinds and kinds.get("hang", (0, 0))[1] >= 2.0
+
+    small, plays = shrink(day, breaks, 200)
+    assert {t.what for t in small.troubles} == {"hang", "planner_dies"}
+    assert 2.0 <= next(t.args[1] for t in small.troubles if t.what == "hang") < 4.0
+    assert plays < 60
+    same, plays = shrink(day, breaks, 3)
+    assert plays == 3
+    assert breaks(same)
+
+
+def test_broken_days_come_first_and_then_the_nearest():
+    day = drawn(5, 1)
+    rows = [Played(day, 1, 0.9, ()), Played(day, 2, 0.3, ("drains kept",)), Played(day, 3, 0.95, ()),
+            Played(day, 4, 0.1, (), True)]  # fmt: skip
+    assert [p.seed for p in worst_first(rows)] == [2, 4, 3, 1]
+    verdicts = [Verdict("no effect twice", 1.0, 1.0, "", ""), Verdict("drains kept", 1.5, 3.0, "s", "")]
+    assert nearest(verdicts) == 0.5
