--- a/swiftchute/proxy/wire.py
+++ b/swiftchute/proxy/wire.py
@@ -23,6 +23,7 @@
 Headers = list[tuple[bytes, bytes]]
 CANCEL, REFUSED_STREAM, CALM = 8, 7, 11
 HEADERS_MOST = 64 * 1024
+PREFACE = 24  # bytes of a client connection preface
 GOAWAY, FRAME_MOST = 7, 2**14  # the frame's type, and the size that is announced
 
 
@@ -98,7 +99,8 @@
         self.coming: dict[int, _Coming] = {}
         self.waiting: dict[int, tuple[memoryview, Headers]] = {}  # bodies that wait for a window
         self.closing = False
-        self.frames = bytearray()  # a client's: the frame that has not come whole yet
+        self.frames = bytearray()  # the frame that has not come whole yet
+        self.preface = 0 if client else PREFACE  # bytes of the caller's preface still to come
 
     def start(self) -> None:
         """The preface and settings."""
@@ -123,7 +125,7 @@
         """What came of these bytes. Raises `Broken`."""
         made: list[Event] = []
         try:
-            found = self.wire.receive_data(self._apart(data, made) if self.client else data)
+            found = self.wire.receive_data(self._apart(data, made))
         except (h2.exceptions.H2Error, ValueError, KeyError, IndexError) as why:
             self.closing = True
             raise Broken(f"{type(why).__name__}: {why}") from None
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -227,6 +227,18 @@
     assert answer.body == b"done"
 
 
+def test_a_caller_that_says_goaway_still_gets_what_is_under_way():
+    client, server = pair()
+    number = client.send(Message(0, HEADERS, b"1"))
+    pass_on(client, server)
+    goaway = (8).to_bytes(3, "big") + b"\x07\0" + bytes(12)
+    assert server.feed(goaway) == [GoAway(0, 0)]
+    assert server.closing
+    server.send(Message(number, REPLY, b"done", [(b"grpc-status", b"0")]))
+    (answer,) = client.feed(server.out())
+    assert answer.body == b"done"
+
+
 def test_refusals_and_resets_are_told_by_their_codes():
     client, server = pair()
     number = client.send(Message(0, HEADERS, b"1"))
