--- a/swiftchute/proxy/wire.py
+++ b/swiftchute/proxy/wire.py
@@ -136,10 +136,11 @@
 
     def _apart(self, data: bytes, made: list[Event]) -> bytes:
         """Whole frames less GOAWAYs, which are told at once: to h2 a connection ends with one, and the
-        answers that were to come on it still would be lost (RFC 9113, 6.8: streams up to the last one go
+        answers that were to go over it would be lost (RFC 9113, 6.8: streams up to the last one go
         on)."""
-        self.frames += data
-        kept, at = bytearray(), 0
+        kept, at = bytearray(data[: self.preface]), 0
+        self.preface -= len(kept)
+        self.frames += data[len(kept) :]
         while len(self.frames) - at >= 9:
             size = int.from_bytes(self.frames[at : at + 3], "big")
             if size > FRAME_MOST:
