--- a/swiftchute/drill/acts.py
+++ b/swiftchute/drill/acts.py
@@ -13,7 +13,7 @@
 import time
 from typing import Any
 
-from swiftchute.control.client import call
+from swiftchute.control.client import Unanswered, call
 from swiftchute.standin.gateway import Gateway
 from swiftchute.standin.relay import Relay
 from swiftchute.standin.worker import Worker
@@ -157,7 +157,11 @@
                     tables += 1
         took = time.monotonic() - order
         while time.monotonic() - order < 10:
-            logs = [await asyncio.to_thread(call, way, "tables.log", most=1000) for way in ways]
+            try:
+                logs = [await asyncio.to_thread(call, way, "tables.log", most=1000) for way in ways]
+            except Unanswered as why:  # it was killed between the orders and the answers
+                self.notes.append(f"{tables} tables ordered back in {took:.2f} s, then: {why}")
+                return
             back = [_settled(log) for log in logs]
             if None not in back and sum(back) >= tables:
                 break
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -135,6 +135,8 @@
     result, verdicts = played["rollback-cut", "process"]
     assert not broken(result, verdicts), text(result, verdicts)
     assert len({s.planner for s in result.evidence.streams}) > 12  # its gateways were on the other one too
+    assert "tables ordered back" in result.notes[0]
+    assert not result.notes[0].startswith("0 ")
 
 
 def test_a_bad_table_is_tried_by_a_part_of_the_gateways_first(played):
