--- a/swiftchute/standin/resolver.py
+++ b/swiftchute/standin/resolver.py
@@ -75,8 +75,11 @@
 
     async def _ask(self, operation: str) -> Cached:
         name = f"_{operation}._tcp.{self.origin}"
-        for _ in self.upstreams:
-            upstream = self.upstreams[self.at % len(self.upstreams)]
+        begin = self.at
+        for step in range(len(self.upstreams)):
+            # a place of its own: two names that fail at once would else turn it round to where it was
+            at = (begin + step) % len(self.upstreams)
+            upstream = self.upstreams[at]
             self.asked += 1
             query = dns.message.make_query(name, "SRV", use_edns=0, payload=1232)
             try:
@@ -84,14 +87,12 @@
                     query, upstream[0], timeout=WAIT, port=upstream[1]
                 )
             except (dns.exception.DNSException, OSError, EOFError):
-                self.at += 1
                 continue
             self.cut += by_tcp
             if reply.rcode() == dns.rcode.NOERROR and reply.answer:
-                made = self._read(reply, upstream)
-                self.cache[operation] = made
+                self.at = at
+                made = self.cache[operation] = self._read(reply, upstream)
                 return made
-            self.at += 1
         self.failed += 1
         made = self.cache[operation] = Cached((), time.monotonic() + FAILED, self.upstreams[0])
         return made
@@ -170,4 +171,6 @@
 
     async def _later(self, operation: str) -> None:
         await asyncio.sleep(FAILED)
+        while not (await self.resolver.lookup(operation)).lines:
+            await asyncio.sleep(FAILED)
         await self.ready(operation)
--- a/tests/test_dns_sockets.py
+++ b/tests/test_dns_sockets.py
@@ -19,7 +19,7 @@
 from swiftchute.daemon.service import CannotListen, Service
 from swiftchute.observe.log import setup
 from swiftchute.policy import Planner
-from swiftchute.standin.resolver import Line, Srv
+from swiftchute.standin.resolver import Line, Resolver, Srv
 
 ORIGIN = "lots.example."
 SRV = "_lot-estimate._tcp.lots.example."
@@ -177,6 +177,20 @@
         assert stats.chisquare([picks.count(n) for n in expected], list(expected.values())).pvalue > 1e-4
 
 
+def test_two_names_that_fail_at_once_do_not_turn_a_resolver_back_to_a_dead_planner(tmp_path):
+    async def act():
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as silent:
+            silent.bind(("127.0.0.1", 0))
+            async with Running(tmp_path, many(3)) as world:
+                await world.until(lambda r: len(targets(r)) == 3)
+                resolver = Resolver([silent.getsockname(), world.at["north"]], ORIGIN, 7)
+                resolver.at = 0
+                found = await asyncio.gather(*(resolver.lookup(op) for op in ("none", "lot-estimate")))
+                assert [len(made.lines) for made in found] == [0, 3]
+
+    run(act)
+
+
 def test_a_version_that_changes_between_a_cut_answer_and_its_repeat_by_tcp(tmp_path):
     async def act():
         servers = many(60)
