Reread: one place says which servers are cold; DNS bounds that act are told while running

Cause: the core's canary and the DNS front each worked out who is cold, and streams closed past their bound or NOTIFYs given up were told at the end only. Change: Core.cold; both stand in the event of bounds.

--- a/swiftchute/daemon/service.py
+++ b/swiftchute/daemon/service.py
@@ -66,7 +66,7 @@
         commands = Commands(self.core, self.clock, self.kick).all()
         self.control = Control(config.control, commands) if config.control else None
         self.stop, self.fault = asyncio.Event(), None
-        self.past, self.tell_past = dict.fromkeys(("sums", "calls", "connections"), 0), 0
+        self.past, self.tell_past = self._past_bounds(), 0
         self.handle: asyncio.TimerHandle | None = None
         self.at = 0
         self.address: tuple[str, int] | None = None
@@ -132,11 +132,15 @@
     def _past_bounds(self) -> dict[str, int]:
         """What was dropped or turned away past a bound, since the start."""
         server = self.shell.server
-        return {
+        found = {
             "sums": self.core.sums.lost,
             "calls": self.core.counts["calls_lost"],
             "connections": server.turned_away if server else 0,
         }
+        if self.dns is not None:
+            found["dns_streams"] = self.dns.closed["streams_past_bound"]
+            found["dns_notifies"] = self.dns.front.secondaries.lost
+        return found
 
     def _events(self, out: Out) -> None:
         now = self._past_bounds()
--- a/swiftchute/dns/front.py
+++ b/swiftchute/dns/front.py
@@ -142,7 +142,7 @@
         if ttl != self.ttl:
             self.core.event("answers live", seconds=ttl, most=self.lease.bound, queries=round(self.rate, 1),
                             changes=len(self.lease.changes))  # fmt: skip
-        moved = ttl != self.ttl or self._cold(now) != self.cold
+        moved = ttl != self.ttl or self.core.cold(now) != self.cold
         self.ttl = ttl
         return moved
 
@@ -161,11 +161,6 @@
             if rows:
                 self.core.heard(name, Report(span, tuple(rows), ()), now)
 
-    def _cold(self, now: int) -> frozenset[str]:
-        since = now - self.set.warm_within
-        facts = self.core.facts.items()
-        return frozenset(n for n, f in facts if f.started > since and f.started and f.state == "ready")
-
     def _lines(self, content: Content) -> Lines:
         """A table's lines less servers that drain or are gone: news of those may be ahead of the push. If
         nothing else were left they stay: an answer is never emptied."""
@@ -184,7 +179,7 @@
                 place = [o.name for o in self.set.operations].index(op)
                 if self.plumbing["shed"] == "servfail":
                     levels[view.zone, op] = content.levels[place][0]
-        cold = self._cold(now)
+        cold = self.core.cold(now)
         old = self.ready.records if self.ready else None
         if not held:
             return
--- a/swiftchute/planner/core.py
+++ b/swiftchute/planner/core.py
@@ -354,6 +354,12 @@
 
     # -- canaries
 
+    def cold(self, now: int) -> frozenset[str]:
+        """Ready servers that have started so lately that they are not warm yet; fronts ask here too."""
+        since = now - self.set.warm_within
+        facts = self.facts.items()
+        return frozenset(n for n, f in facts if f.started > since and f.started and f.state == "ready")
+
     def _starts(self) -> dict[str, int]:
         """When each open server started."""
         shut = self.orders.shut
@@ -376,8 +382,8 @@
             before, after = ({n: w for n, _, w in made.lines} for made in (old, new))
             tried = name in self.trials.open
             starts = self._starts()
-            cold = frozenset(n for n, at in starts.items() if at and self.turned - at < self.set.warm_within)
-            versions, on = (old.version, new.version), self._demands(number)
+            cold, versions = self.cold(self.turned), (old.version, new.version)
+            on = self._demands(number)
             if self.trials.change(name, before, after, versions, on, starts, cold, self.turned) and not tried:
                 few, version = len(self.trials.open[name].first), new.version.hex()[:12]
                 self.event("canary", table=name, version=version, proxies=few, of=len(on))
