--- a/swiftchute/planner/core.py
+++ b/swiftchute/planner/core.py
@@ -13,9 +13,6 @@
 the module's orders has left the channel, and what becomes of a module that fails.
 """
 
-import random
-import traceback
-from collections import deque
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from typing import Any
@@ -23,9 +20,10 @@
 from swiftchute.guard.gate import Gate
 from swiftchute.guard.guard import Fact, Known, Proposal, Rules
 from swiftchute.guard.seen import Seen, by_kind
-from swiftchute.interface import Call, Decider, Entry, Settings
+from swiftchute.interface import Decider, Settings
 from swiftchute.planner.channel import Channel
-from swiftchute.planner.orders import Orders, Round
+from swiftchute.planner.loop import IDLE, Joined, Loop, S
+from swiftchute.planner.orders import Round
 from swiftchute.planner.sums import Report, Sums
 from swiftchute.registry.lists import News
 from swiftchute.tables import form
@@ -34,17 +32,8 @@
 from swiftchute.tables.pins import SPAN_LEAST, SPAN_MOST, Impossible, Pin, Pins, Rejected
 from swiftchute.tables.sent import Sent
 
-S = 1_000_000_000
-STALL = 2 * S  # a turn that comes so much later than it was due: this planner stood still
-FAULTS, FAULT_SPAN = (
-    5,
-    60 * S,
-)  # faults of the module within the span past which it waits before the next start
-FAULT_WAIT = 10 * S
-CALLS_MOST = 200_000  # calls that may wait for a round; joins, leaves and lists pass the bound, sums do not
 SEALS_KEPT = 4096  # marks whose time of order is remembered
 FACTS_MOST = 200_000  # servers remembered, those gone among them: past it the gone are forgotten
-IDLE = 1 * S  # a turn at least so often
 
 Line = tuple[str, str, float]  # server, its zone, weight
 
@@ -78,9 +67,7 @@
 
 
 @dataclass
-class _Joined:
-    zone: str
-    rate: float
+class _Joined(Joined):
     seal: int | None = None  # the newest mark ordered and not pushed yet
     carried: Holding | None = None  # what it held of a module that failed
 
@@ -101,9 +88,11 @@
     canary_step: float = 0.25
 
 
-class Core:
+class Core(Loop):
     """The state of one planner's life."""
 
+    record = _Joined
+
     def __init__(
         self,
         settings: Settings,
@@ -116,6 +105,7 @@
     ) -> None:
         """`make` builds the module, anew after each of its faults; without `guard` tables go out as
         ordered."""
+        super().__init__(settings, seed, make, now, lenient=guard is not None and enforce)
         self.rules, self.enforce = guard, enforce
         tables = self.keep = tables or Keep()
         self.history = History(str(settings.planner), tables.most, tables.age)
@@ -124,27 +114,18 @@
         limits = Limits(tables.canary_part, tables.canary_for, tables.canary_most, tables.canary_step)
         self.trials = Trials(limits)
         self.rests: dict[int, Content] = {}  # of tables on trial, what proxies behind hold
-        self.set, self.make, self.random = settings, make, random.Random(seed)
-        self.planner: Decider | None = make(settings, seed)
         self.sums = Sums(settings.report_lines, settings.report_period)
-        self.proxies: dict[Any, _Joined] = {}
-        self.list: dict[str, Entry] = {}
         self.facts: dict[str, Fact] = {}  # what the list says, or last said, of each server
         self.reviewed = now
         self.news = self.judged = 0  # lists that brought something, and those that the module was told of
         self.barred: frozenset[str] = frozenset()  # servers listed as draining, or gone where gone binds
-        self.calls: list[Call] = []
-        self.timers: list[tuple[int, int]] = []
-        self.faults: deque[int] = deque(maxlen=FAULTS)
-        self.asleep: int | None = None  # until when the module is not started again
-        self.turned = now
-        self.counts = dict.fromkeys(("rounds", "faults", "calls_lost", "pushes"), 0)
+        self.counts["pushes"] = 0
         self.out = Turn()
         self._fresh()
 
     def _fresh(self) -> None:
+        super()._fresh()
         s = self.set
-        self.orders = Orders(s, lenient=self.rules is not None and self.enforce)
         self.gate = Gate(s, self.rules, self.enforce, self.random.getrandbits(32)) if self.rules else None
         for proxy in list(self.sent.by):  # those of a module that failed are bound to nothing
             self.sent.left(proxy)
@@ -161,32 +142,22 @@
         self.rests.clear()
         self.ordered: dict[int, int] = {}
 
-    def event(self, event: str, **fields: Any) -> None:
-        """An event for the log, told with the next turn."""
-        self.out.events.append((event, fields))
-
     # -- in
 
-    def joined(self, proxy: Any, zone: str, rate: float, fresh: bool) -> None:
-        """A proxy takes this planner's messages from now on; it is bound to nothing yet."""
-        self.proxies[proxy] = _Joined(zone, rate)
-        self.orders.joined(proxy, zone)
-        self.calls.append(("joined", (proxy, zone, rate, fresh)))
-
-    def left(self, proxy: Any) -> None:
-        """Its stream broke: what waits for it is lost."""
-        if self.proxies.pop(proxy, None) is not None:
-            self.orders.left(proxy)
-            self.channel.left(proxy)
-            self.sent.left(proxy)
-            self.trials.left(proxy)
-            self.marks.pop(proxy, None)
-            self.sums.left(proxy)
-            self.calls.append(("left", (proxy,)))
+    def left(self, proxy: Any) -> bool:
+        """Its stream broke: what waits for it is lost. False if it had not joined."""
+        if not super().left(proxy):
+            return False
+        self.channel.left(proxy)
+        self.sent.left(proxy)
+        self.trials.left(proxy)
+        self.marks.pop(proxy, None)
+        self.sums.left(proxy)
+        return True
 
     def applied(self, proxy: Any, seal: int, now: int) -> None:
         """A proxy has acknowledged all that belongs to a mark and to those before it."""
-        self._sum(("applied", (proxy, seal, now - self.ordered.get(seal, now))))
+        self.tell(("applied", (proxy, seal, now - self.ordered.get(seal, now))))
 
     def settled(self, proxy: Any, now: int) -> None:
         """A proxy holds all that was pushed to it."""
@@ -211,10 +182,6 @@
         barred = set(self.barred)
         for entry in news.entries:
             server, zone, state = entry[0], entry[1], entry[4]
-            if state == "gone":
-                self.list.pop(server, None)
-            else:
-                self.list[server] = entry
             self.facts[server] = Fact(zone, state, entry[6], entry[5], entry[2])
             if len(self.facts) > FACTS_MOST:  # those gone are forgotten; to the guard they are gone still
                 self.facts = {n: f for n, f in self.facts.items() if f.state != "gone"}
@@ -223,40 +190,24 @@
         if len(barred) > FACTS_MOST:
             barred &= self.facts.keys()
         self.barred = frozenset(barred)
-        self.calls.append(("listed", (news.scope, list(news.entries))))
-
-    def _sum(self, call: Call) -> None:
-        if len(self.calls) >= CALLS_MOST:
-            self.counts["calls_lost"] += 1
-        else:
-            self.calls.append(call)
+        self.news_of_list(news.scope, news.entries)
 
     # -- a turn
 
     @property
     def due(self) -> int:
         """When the next turn is due."""
-        times = [self.turned + IDLE, *(when for when, _ in self.timers)]
         more = (
-            self.channel.due, self.sums.due, self.asleep, self.pins.due, self.trials.due,
+            self.channel.due, self.sums.due, self.pins.due, self.trials.due,
             self.gate.due if self.gate else None,
         )  # fmt: skip
-        return min(times + [t for t in more if t is not None])
+        return min([super().due, *(t for t in more if t is not None)])
 
     def turn(self, now: int) -> Turn:
         """Call the module if anything came in, and return what may go to proxies now."""
-        if now - self.turned > IDLE + STALL:
-            # Nothing decided before the gap waits anywhere but in the channel, and a push is of the state of
-            # now: what was overtaken is never sent. The drains that came meanwhile are in this round's calls.
-            self.event("stood still", seconds=round((now - self.turned) / S, 1))
-        self.turned = now
-        due = [timer for timer in self.timers if timer[0] <= now]
-        self.timers = [timer for timer in self.timers if timer[0] > now]
-        self.calls += [("woke", (token,)) for _, token in due]
-        if self.asleep is not None and now >= self.asleep:
-            self._start_again()
+        self._wake(now)
         for call in self.sums.take(now):
-            self._sum(call)
+            self.tell(call)
         if self.calls and self.planner is not None:
             self._round(now)
         self._end_pins(now)
@@ -272,6 +223,7 @@
                 self.sent.pushed(proxy, self.held(proxy))
                 self.out.pushes.append((proxy, seal))
         out, self.out = self.out, Turn()
+        out.events = self.take_events()
         return out
 
     def _to_review(self, now: int) -> bool:
@@ -281,23 +233,15 @@
         due = self.gate.due
         return now - self.reviewed >= IDLE or self.gate.news != self.news or (due is not None and now >= due)
 
-    def _round(self, now: int) -> None:
-        calls, self.calls = self.calls, []
-        self.counts["rounds"] += 1
-        for call in calls if self.gate else ():
+    def _round(self, now: int) -> Round | None:
+        for call in self.calls if self.gate else ():
             self.seen.told(call, now)
-        try:
-            assert self.planner is not None
-            self.planner.decide(now, calls, self.orders)
-        except Exception as why:  # the module's fault is this planner's, never silence
-            self._fault(why, len(calls), now)
-            return
-        self._apply(self.orders.end(), now)
+        done = super()._round(now)
+        if done is not None:
+            self._apply(done, now)
+        return done
 
     def _apply(self, done: Round, now: int) -> None:
-        for text in done.logs:
-            self.event("mode", text=text)
-        self.timers += [(now + wait, token) for wait, token in done.timers]
         if done.tables or done.withdrawals:
             self.holdings.clear()
         for number in done.tables if self.news != self.judged else ():
@@ -489,7 +433,7 @@
             for proxy in self.orders.on.get(number, ()):
                 lines[proxy] = lines.get(proxy, 0) + len(self.gate.allowed[number][0])
         self._put(lines, now)
-        self.out.events += self.gate.events()
+        self.events += self.gate.events()
 
     def _hold(self, done: Round, now: int) -> None:
         """Take the lines of held tables out of a round: what does not go out is not counted.
@@ -664,34 +608,8 @@
 
     # -- the module's faults
 
-    def _fault(self, why: Exception, calls: int, now: int) -> None:
-        """The module failed: proxies keep their tables and it starts anew with the last list."""
-        self.counts["faults"] += 1
-        place = traceback.extract_tb(why.__traceback__)[-1]
-        self.event(
-            "module fault",
-            error=f"{type(why).__name__}: {why}",
-            at=f"{place.name}:{place.lineno}",
-            calls=calls,
-            faults=self.counts["faults"],
-        )
+    def _carry(self) -> None:
         for proxy, joined in self.proxies.items():
             if self.orders.proxies[proxy].bound:
                 joined.carried = self.held(proxy)  # the copy survives: `held` clears it only when asked again
-        self.planner, self.timers, self.asleep = None, [], now
-        if len(self.faults) == FAULTS and now - self.faults[0] < FAULT_SPAN:
-            # a fault that comes again at once would make the program spin and the log overflow
-            self.asleep = now + int(FAULT_WAIT * self.random.uniform(0.5, 1.0))
-            self.event("module waits", seconds=round((self.asleep - now) / S, 1), faults=FAULTS)
-        self.faults.append(now)
-        self._fresh()
-        for proxy, joined in self.proxies.items():
             joined.seal = None
-            self.orders.joined(proxy, joined.zone)
-
-    def _start_again(self) -> None:
-        self.asleep = None
-        self.planner = self.make(self.set, self.random.getrandbits(63))
-        self.calls = [("listed", ("held", [self.list[n] for n in sorted(self.list)]))] if self.list else []
-        self.calls += [("joined", (p, j.zone, j.rate, False)) for p, j in self.proxies.items()]
-        self.event("module started", proxies=len(self.proxies), servers=len(self.list))
--- /dev/null
+++ b/swiftchute/platform/front.py
@@ -0,0 +1,324 @@
+"""All connections of one planner, between its round loop and its sockets. No I/O.
+
+    front = Front(settings, limits, loop)
+    stream = front.opened(now); stream.received(data, now); front.closed(stream, cause)
+    front.listed(scope, entries)        # from discovery
+    for stream, data in front.turn(now): ...
+    front.due, front.ending             # when the next turn is due; streams to be closed
+
+Rules of the protocol that concern more than one connection are kept here: which stream is a proxy's, how many
+connections may wait to join, what may be written to a proxy that does not read.
+"""
+
+import math
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from swiftchute.interface import Entry
+from swiftchute.planner.loop import Loop
+from swiftchute.planner.orders import Round
+from swiftchute.platform import messages
+from swiftchute.platform.stream import Stream
+from swiftchute.platform.writer import TooLarge, Writer
+
+MS, S = 1_000_000, 1_000_000_000
+JOIN_WITHIN = 1 * S  # a connection that has not joined by then is closed, once its socket was read again
+UNREAD_MOST = 40 * 1024  # bytes that a proxy may leave unread before what follows is merged
+HELD_WAIT = 5 * S  # a proxy that proves nothing read is tried again so often, by one message
+SILENT = 15 * S  # a proxy that owes a mark and says nothing for so long has left
+RESERVE = 32  # descriptors kept for what is no client's: files, discovery, listeners, the loop's own
+UNJOINED_MOST = 256  # connections that may wait to join, descriptors allowing
+COLLECTORS_MOST = 4  # connections of collectors, by zone
+SPAN_MOST = 600 * S  # a report of a longer span is none
+SPOILT_LOGGED = 3  # spoilt messages that are told one by one; the rest is counted
+
+
+@dataclass(frozen=True)
+class Limits:
+    """What the platform lets a planner have."""
+
+    sockets: int = 1024
+
+
+class Front:
+    """The state of a planner's address."""
+
+    def __init__(self, loop: Loop, limits: Limits) -> None:
+        """No connection is open."""
+        self.loop, self.limits, self.set = loop, limits, loop.set
+        self.operations = {op.name for op in self.set.operations}
+        self.zones = set(self.set.zones)
+        self.longest = 2 * max((op.timeout for op in self.set.operations), default=S)
+        self.writer = Writer(self.set, loop.orders)
+        self.streams: dict[int, Stream] = {}  # by proxy
+        self.collectors: dict[Stream, None] = {}
+        self.unjoined: dict[Stream, None] = {}  # the oldest first
+        self.ending: list[Stream] = []  # to be closed by the shell
+        self.known: dict[str, None] = {}  # servers that reports may name: listed, and lately gone
+        self.shut: set[str] = set()  # what was withdrawn when proxies were last written to
+        self.held: set[int] = set()  # proxies that something could not be written to
+        self.pending: dict[int, int | None] = {}  # the newest mark of each of those
+        self.counts = dict.fromkeys(
+            ("opened", "joined", "left", "replaced", "refused", "crowded", "late", "silent", "spoilt",
+             "reports", "acks", "messages", "lines", "bytes", "merged", "too_large"), 0,
+        )  # fmt: skip
+
+    # -- connections
+
+    def opened(self, now: int) -> Stream:
+        """A connection was accepted; past the bound the oldest that has not joined gives way."""
+        stream = Stream(self, now)
+        self.counts["opened"] += 1
+        self.unjoined[stream] = None
+        taken = RESERVE + len(self.streams) + len(self.collectors)
+        most = max(min(UNJOINED_MOST, self.limits.sockets - taken), 8)
+        while len(self.unjoined) > most:
+            self.counts["crowded"] += 1
+            self._refuse(next(iter(self.unjoined)), "too many connections")
+        return stream
+
+    def _refuse(self, stream: Stream, cause: str) -> None:
+        self.unjoined.pop(stream, None)
+        stream.end(cause)
+        self.ending.append(stream)
+
+    def closed(self, stream: Stream, cause: str) -> None:
+        """A connection is over, by whichever side. A proxy's old stream that ends after its new one began
+        changes nothing."""
+        self.counts["refused"] += not stream.joined and stream.ended is not None
+        self.unjoined.pop(stream, None)
+        self.collectors.pop(stream, None)
+        if stream.proxy is not None and self.streams.get(stream.proxy) is stream:
+            self._left(stream.proxy, cause)
+
+    def _left(self, proxy: int, cause: str) -> None:
+        del self.streams[proxy]
+        self.held.discard(proxy)
+        self.pending.pop(proxy, None)
+        self.writer.left(proxy)
+        self.loop.left(proxy)
+        self.counts["left"] += 1
+        self.loop.event("proxy left", proxy=proxy, cause=cause)
+
+    def dropped(self, stream: Stream, cause: str) -> None:
+        """A spoilt message of a joined connection is passed over."""
+        self.counts["spoilt"] += 1
+        if self.counts["spoilt"] <= SPOILT_LOGGED or not self.counts["spoilt"] % 100:
+            who = {"proxy": stream.proxy} if stream.proxy is not None else {"collector": stream.zone}
+            self.loop.event("message dropped", cause=cause, dropped=self.counts["spoilt"], **who)
+
+    def tend(self, now: int) -> None:
+        """Look at connections that wait: those that do not join, and proxies that say nothing."""
+        for stream in list(self.unjoined):
+            if now - stream.since < JOIN_WITHIN:
+                break
+            if stream.late:
+                self.counts["late"] += 1
+                self._refuse(stream, "no joining within 1 s")
+            # Its bytes may lie in the socket while this process stood still: one reading more is waited for.
+            stream.late = True
+        for proxy, stream in list(self.streams.items()):
+            since = stream.waiting()
+            if since is not None and now - max(since, stream.heard) > SILENT:
+                self.counts["silent"] += 1
+                stream.end("nothing heard", tell=False)
+                self.ending.append(stream)
+                self._left(proxy, "silent")
+
+    # -- messages
+
+    def take(self, stream: Stream, message: Any, now: int) -> str | None:
+        """A message other than `probe`; returns why it cannot be used, or None."""
+        kind = type(message)
+        if kind is messages.Hello:
+            return self._hello(stream, message, now)
+        if kind is messages.Agent:
+            return self._agent(stream, message)
+        if not stream.joined:
+            return "a report before joining"
+        if kind is messages.Ack:
+            return self._ack(stream, message)
+        if kind is messages.Outcomes:
+            return self._outcomes(stream, message)
+        return self._demand(stream, message)
+
+    def _hello(self, stream: Stream, message: messages.Hello, now: int) -> str | None:
+        if stream.joined:
+            return "a second joining"
+        if message.proxy >= self.set.proxies:
+            return f"proxy {message.proxy}: numbers end at {self.set.proxies - 1}"
+        if message.zone not in self.zones:
+            return f"zone {message.zone!r} is not known"
+        proxy = message.proxy
+        old = self.streams.get(proxy)
+        if old is not None:  # the new stream arrived before the old one was seen to end
+            self.counts["replaced"] += 1
+            old.end("replaced by a new stream", tell=False)
+            self.ending.append(old)
+            self._left(proxy, "replaced")
+        self.unjoined.pop(stream, None)
+        stream.proxy = proxy
+        stream.wrote = now
+        self.streams[proxy] = stream
+        self.counts["joined"] += 1
+        self.writer.joined(proxy, message.fresh)
+        self.loop.joined(proxy, message.zone, message.weight, message.fresh)
+        return None
+
+    def _agent(self, stream: Stream, message: messages.Agent) -> str | None:
+        if stream.joined:
+            return "a second joining"
+        if message.zone not in self.zones:
+            return f"zone {message.zone!r} is not known"
+        same = [s for s in self.collectors if s.zone == message.zone]
+        if len(same) >= COLLECTORS_MOST:  # a collector that comes again: the oldest is the dead one
+            self.collectors.pop(same[0])
+            same[0].end("too many collectors of the zone")
+            self.ending.append(same[0])
+        self.unjoined.pop(stream, None)
+        stream.zone = message.zone
+        self.collectors[stream] = None
+        return None
+
+    def _ack(self, stream: Stream, message: messages.Ack) -> str | None:
+        if message.proxy != stream.proxy:
+            return "an answer of another proxy"
+        if message.took_ms * MS > SPAN_MOST:
+            return f"took_ms {message.took_ms:g}"
+        if not stream.applied(message.mark):
+            return f"mark {message.mark} was not asked for"
+        self.counts["acks"] += 1
+        self.loop.tell(("applied", (stream.proxy, message.mark, int(message.took_ms * MS))))
+        return None
+
+    def _span(self, message: messages.Outcomes | messages.Demand) -> str | None:
+        if not 0 < message.span_ms * MS <= SPAN_MOST:
+            return f"span_ms {message.span_ms:g}"
+        if message.failed > message.tries:
+            return f"{message.failed} of {message.tries} failed"
+        return None
+
+    def _outcomes(self, stream: Stream, message: messages.Outcomes) -> str | None:
+        if stream.zone is None:
+            return "a report of outcomes on a proxy's stream"
+        if message.zone not in self.zones:
+            return f"zone {message.zone!r} is not known"
+        if message.server not in self.known:
+            return f"server {message.server!r} was not listed"
+        good = message.tries - message.failed
+        mean = message.mean_ms
+        if good and mean is None or mean is not None and not 0 <= mean * MS <= self.longest:
+            return f"mean_ms {mean}"
+        cause = self._span(message)
+        if cause is not None:
+            return cause
+        load = message.load
+        if load is not None:
+            if not all(math.isfinite(v) and v >= 0 for v in load.values()):
+                return "a load figure below 0"
+            load = {messages.LOADS.get(name, name): value for name, value in load.items()}
+        self.counts["reports"] += 1
+        took = int(mean * MS) if good and mean is not None else 0
+        row = (message.zone, message.server, message.tries, message.failed, took,
+               int(message.span_ms * MS), load or None)  # fmt: skip
+        self.loop.tell(("met", row))
+        return None
+
+    def _demand(self, stream: Stream, message: messages.Demand) -> str | None:
+        if message.proxy != stream.proxy and stream.zone is None:
+            return "usage of another proxy"
+        if message.proxy not in self.streams:
+            return f"proxy {message.proxy} has not joined"
+        if message.operation not in self.operations:
+            return f"class {message.operation!r} is not known"
+        cause = self._span(message)
+        if cause is not None:
+            return cause
+        self.counts["reports"] += 1
+        row = (message.proxy, message.operation, message.tries, message.failed, int(message.span_ms * MS))
+        self.loop.tell(("arrived", row))
+        return None
+
+    # -- the list
+
+    def listed(self, scope: str, entries: Iterable[Entry]) -> None:
+        """News from discovery, in the words of `interface`."""
+        entries = list(entries)
+        self.writer.listed(entries, scope in ("whole", "held"))
+        for entry in entries:
+            self.known.pop(entry[0], None)
+            self.known[entry[0]] = None
+        self.loop.news_of_list(scope, entries)
+        most = 2 * len(self.loop.list) + 1000
+        for server in list(self.known) if len(self.known) > most else ():
+            if len(self.known) <= most:
+                break
+            if server not in self.loop.list:
+                del self.known[server]
+
+    # -- a turn
+
+    @property
+    def due(self) -> int:
+        """When the next turn is due."""
+        return self.loop.due
+
+    def turn(self, now: int) -> Iterator[tuple[Stream, bytes]]:
+        """Call the module if anything came in, and yield what is to be written now, message by message."""
+        done = self.loop.turn(now)
+        if self.loop.orders is not self.writer.orders:  # the module started anew after a fault
+            self.writer.fresh(self.loop.orders)
+            self.shut = set()
+        self.writer.begin()
+        if done is not None:
+            yield from self._ordered(done, now)
+        for proxy in list(self.held):
+            stream = self.streams[proxy]
+            if self._room(stream, now):
+                self.held.discard(proxy)
+                made = self._write(proxy, stream, self.pending.pop(proxy, None), self.loop.orders.shut, now)
+                if made:
+                    yield stream, made
+        self.writer.begin()
+
+    def _ordered(self, done: Round, now: int) -> Iterator[tuple[Stream, bytes]]:
+        shut = self.loop.orders.shut
+        withdrawn = shut - self.shut if done.withdrawals else ()
+        if done.withdrawals:
+            self.shut = set(shut)
+        if done.fetch or done.watch is not None:  # the watch is open at all times here: what is held is told
+            entries = [self.loop.list[n] for n in sorted(self.loop.list)]
+            self.loop.news_of_list("whole" if done.fetch else "changes", entries if done.fetch else [])
+        for proxy in done.lines:
+            stream = self.streams.get(proxy)
+            if stream is None:
+                continue
+            if proxy in self.held or not self._room(stream, now):
+                self.counts["merged"] += 1
+                self.held.add(proxy)
+                self.pending[proxy] = done.seal if done.seal is not None else self.pending.get(proxy)
+                continue
+            made = self._write(proxy, stream, done.seal, withdrawn, now)
+            if made:
+                yield stream, made
+
+    def _room(self, stream: Stream, now: int) -> bool:
+        """Whether a proxy may be written to: it has read enough of what it got, or is tried again."""
+        return stream.unread < UNREAD_MOST or now - stream.wrote >= HELD_WAIT
+
+    def _write(
+        self, proxy: int, stream: Stream, seal: int | None, withdrawn: Iterable[str], now: int
+    ) -> bytes:
+        try:
+            data, lines = self.writer.message(proxy, seal, withdrawn)
+        except TooLarge as why:
+            self.counts["too_large"] += 1
+            self.loop.event("message too large", proxy=proxy, cause=str(why))
+            return b""
+        if data:
+            stream.pushed(len(data), seal, now)
+            self.counts["messages"] += 1
+            self.counts["lines"] += lines
+            self.counts["bytes"] += len(data)
+        return data
