First judgements after a start go further; servers that are gone are forgotten past a bound

Changed: after a planner's start the first judgements go half, a third, then a quarter of the way; cold servers step by step as before.

The module forgot no server: now at most 200 that are gone, once no proxy waits for a bind.

--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -47,6 +47,7 @@
 SAFE = 0.4  # part of what the rule on cold servers lets through that a table plans for: speeds differ
 CARRIED = 60  # judgements over which the most that a zone's servers carried is kept
 MOVE_AT = 1.2  # share of load / share of weight past which a group gives up proxies: later one group floods
+GONE = 200  # servers that are gone and are remembered: proxies of other planners may still hold them
 SEALS = 60_000  # marks are counted up to this and begin anew
 TICK = 100 * MS  # the timer chain's step while something is due
 
@@ -101,7 +102,7 @@
         self.set, self.random = settings, random.Random(seed)
         self.servers, self.proxies, self.slices = {}, {}, {}
         self.unread = 0  # lines written that no proxy has answered for: the channel holds no more than these
-        self.judged = self.armed = self.seal = 0
+        self.judged = self.armed = self.seal = self.judgements = self.listings = 0
         self.pressed = dict.fromkeys(settings.zones)  # what a zone's proxies felt when last judged
         self.retry_at, self.retry_wait = 0 if settings.asks_list else None, S  # when to subscribe
         ways = [(zone, other) for zone in settings.zones for other in settings.zones if other != zone]
@@ -162,7 +163,8 @@
         for entry in entries:
             known = self.servers.get(entry[0])
             if known is None or entry[6] != known.started:  # a restart: what was measured is void
-                place = known.place if known else len(self.servers)
+                place = known.place if known else self.listings
+                self.listings += known is None
                 self.servers[entry[0]] = Server(entry, place, known and known.group)
             else:
                 known.doubted = entry[4] == "gone" and not self.set.gone_binds and known.state == "ready"
@@ -241,6 +243,9 @@
         if len(seen) < 2:
             return
         usual = median(f[2] for f in seen)
+        # after a start nothing is known: the first judgements weigh as much as all news so far
+        self.judgements += 1
+        step = max(STEP, 1 / (1 + self.judgements))
         for name, server in live.items():
             tries, errored, cost = figures[name]
             if server.doubted and 2 * errored > tries:  # list and tries agree
@@ -250,7 +255,7 @@
                 continue
             most = 1.0 if self.cold(server) else TUNED[1]  # a server under little load looks fast
             target = min(max(usual / cost, TUNED[0]), most)
-            server.tuned *= (target / server.tuned) ** STEP
+            server.tuned *= (target / server.tuned) ** (STEP if most == 1.0 else step)
             self.mode(f"cut {name}", server.tuned < CUT, f"{errored} of {tries} tries errored,"
                       f" {cost / MS:.0f} ms a good answer, usual {usual / MS:.0f}")
         for zone in self.set.zones:
@@ -474,6 +479,7 @@
                 self.send(changed, bound, False, GATE, SPARE_MESSAGES)
         self.bind_waiting()
         self.shut_out()
+        self.forget()
         if self.touched:
             self.seal = self.seal % SEALS + 1
             self.out.mark(self.seal, False)
@@ -527,6 +533,19 @@
                 self.out.withdraw(name, out)
                 (self.shut.add if out else self.shut.remove)(name)
 
+    def forget(self):
+        """Past the bound the servers first listed among those gone are forgotten, if no table names them."""
+        gone = [n for n, s in self.servers.items() if s.state == "gone"]
+        if len(gone) <= GONE or any(proxy.group is None for proxy in self.proxies.values()):
+            return
+        named = set(chain.from_iterable(table.sent for table in self.all_tables()))
+        for name in gone[:-GONE]:
+            if name not in named:
+                del self.servers[name]
+                if name in self.shut:  # it concerns nobody any more: no line goes out
+                    self.out.withdraw(name, False)
+                    self.shut.remove(name)
+
     # -- slices
 
     def slice_given(self, number):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -379,3 +379,57 @@
     assert out.of("withdraw") == [("z", True)]  # which no table names
     assert sum(planner.proxies[1].unread.values()) == cost
     assert planner.unread == sum(sum(x.unread.values()) for x in planner.proxies.values())
+
+
+def test_the_first_judgements_after_a_start_go_further(bench):
+    """A planner that starts in the middle of a day would else serve sick servers for seconds more."""
+    made = bench()
+    made.start()
+    sick = {f"{zone}{k}": (20, 0, 0.2) for zone in "ew" for k in range(4)} | {"e0": (20, 0, 0.8)}
+    made.run(1.5, sick)
+    first = made.planner.servers["e0"].tuned
+    assert first == pytest.approx(0.5, abs=0.1)  # half of the way in logarithms: 0.25 ** 0.5
+    made.run(12, sick)
+    assert made.planner.judgements > 10
+    made.planner.servers["e0"].tuned = 1.0
+    made.run(1, sick)
+    assert made.planner.servers["e0"].tuned == pytest.approx(0.25**0.25, abs=0.05)
+
+
+def test_a_cold_server_is_judged_step_by_step_also_after_a_start(bench):
+    made = bench()
+    made.turn(("listed", ("held", [made.server(f"e{k}") for k in range(4)] + [made.server("c", age=0.1)])),
+              ("joined", (0, "east", 10.0, True)))  # fmt: skip
+    made.run(1.5, {f"e{k}": (20, 0, 0.2) for k in range(4)} | {"c": (20, 0, 0.8)})
+    assert made.planner.servers["c"].tuned == pytest.approx(0.25**0.25, abs=0.05)
+
+
+def test_servers_that_are_gone_are_forgotten_past_a_bound(bench):
+    made = bench()
+    made.start()
+    planner = made.planner
+    for k in range(2_000):
+        made.turn(("listed", ("changes", [made.server(f"n{k}", age=0.0)])), wait=0.01)
+        made.turn(("listed", ("changes", [made.server(f"n{k}", state="gone")])),
+                  *[("applied", (p, planner.seal, S)) for p in planner.proxies], wait=0.5)  # fmt: skip
+    assert len(planner.servers) <= 8 + 200
+    assert planner.listings == 8 + 2_000
+    assert {"e0", "w3"} <= planner.servers.keys()
+    assert sorted(n for n in planner.servers if n[0] == "n")[-1] == "n1999"
+    places = [server.place for server in planner.servers.values()]
+    assert len(set(places)) == len(places)
+
+
+def test_no_server_is_forgotten_while_a_proxy_may_hold_it(bench):
+    made = bench()
+    made.start()
+    made.planner.proxies[0].group = None  # it waits for a bind
+    made.planner.proxies[0].waits = False
+    for k in range(300):
+        made.turn(("listed", ("changes", [made.server(f"n{k}", state="gone")])))
+    assert len(made.planner.servers) == 308
+    made.planner.proxies[0].group = 0
+    out = made.turn(wait=0.1)
+    assert len(made.planner.servers) == 208
+    assert all(not back for _, back in out.of("withdraw"))
+    assert len(made.planner.shut) <= 200
