--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -24,6 +24,7 @@
 JUDGE_EVERY = 1 * S  # reports are a second or two late: judging more often acts twice on the same news
 FAR = 1.8  # a way over which even good servers cost this many times the usual is ill, a calm usual apart
 STEP = 0.25  # part of the way (in logarithms) to its target that a weight goes in one judgement: news is late
+FAILS = 0.8  # part of a server's tries past which, errored, its weight goes to its target at once
 BORROW_UP, BORROW_DOWN = 0.6, 0.05  # parts of its way that borrowing goes in a judgement: causes tend to stay
 TUNED = (0.25, 1.3)  # bounds of the correction by measured time: deeper cuts come back too slowly
 WORTH_SENDING, LEVEL_WORTH = 0.12, 0.04  # a weight or level that moves by less than this part stays as sent
@@ -255,7 +256,8 @@
                 continue
             most = 1.0 if self.cold(server) else TUNED[1]  # a server under little load looks fast
             target = min(max(usual / cost, TUNED[0]), most)
-            server.tuned *= (target / server.tuned) ** (STEP if most == 1.0 else step)
+            fails = errored > FAILS * tries and target < server.tuned  # time-outs are late news already
+            server.tuned *= (target / server.tuned) ** (1.0 if fails else STEP if most == 1.0 else step)
             self.mode(f"cut {name}", server.tuned < CUT, f"{errored} of {tries} tries errored,"
                       f" {cost / MS:.0f} ms a good answer, usual {usual / MS:.0f}")
         for zone in self.set.zones:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -433,3 +433,17 @@
     assert len(made.planner.servers) == 208
     assert all(not back for _, back in out.of("withdraw"))
     assert len(made.planner.shut) <= 200
+
+
+def test_a_server_that_fails_nearly_all_is_cut_at_once(bench):
+    """Its time-outs were late news already; one that fails half goes step by step."""
+    made = bench()
+    made.start()
+    calm = {f"{zone}{k}": (20, 0, 0.2) for zone in "ew" for k in range(4)}
+    made.run(8, calm)
+    for name in ("e0", "e1"):
+        made.planner.servers[name].samples.clear()  # what was told before has grown old
+    made.run(1, calm | {"e0": (20, 19, 0.2), "e1": (20, 10, 0.2)})
+    assert made.planner.servers["e0"].tuned == pytest.approx(0.25)
+    assert made.planner.servers["e1"].tuned > 0.5
+    assert made.table().sent["e0"] < 0.3
