--- a/swiftchute/daemon/service.py
+++ b/swiftchute/daemon/service.py
@@ -135,6 +135,7 @@
         found = {
             "sums": self.core.sums.lost,
             "calls": self.core.counts["calls_lost"],
+            "events": self.core.counts["events_lost"],
             "connections": server.turned_away if server else 0,
         }
         if self.dns is not None:
--- a/swiftchute/planner/core.py
+++ b/swiftchute/planner/core.py
@@ -433,7 +433,8 @@
             for proxy in self.orders.on.get(number, ()):
                 lines[proxy] = lines.get(proxy, 0) + len(self.gate.allowed[number][0])
         self._put(lines, now)
-        self.events += self.gate.events()
+        for event, fields in self.gate.events():
+            self.event(event, **fields)
 
     def _hold(self, done: Round, now: int) -> None:
         """Take the lines of held tables out of a round: what does not go out is not counted.
--- a/swiftchute/planner/loop.py
+++ b/swiftchute/planner/loop.py
@@ -19,7 +19,7 @@
 from typing import Any
 
 from swiftchute.interface import Call, Decider, Entry, Settings
-from swiftchute.planner.orders import Orders, Round
+from swiftchute.planner.orders import LOGS_MOST, Orders, Round
 
 S = 1_000_000_000
 STALL = 2 * S  # a turn that comes so much later than it was due: this planner stood still
@@ -29,7 +29,7 @@
 )  # faults of the module within the span past which it waits before the next start
 FAULT_WAIT = 10 * S
 CALLS_MOST = 200_000  # calls that may wait for a round; joins, leaves and lists pass the bound, sums do not
-EVENTS_MOST = 1000  # events that may wait to be taken; past it they are counted
+EVENTS_MOST = 2 * LOGS_MOST  # events that may wait to be taken; past it they are counted
 IDLE = 1 * S  # a turn at least so often
 
 
--- a/swiftchute/platform/catalog.py
+++ b/swiftchute/platform/catalog.py
@@ -22,6 +22,7 @@
 PATH = "/catalog/members"
 SERVERS_MOST = 20_000  # servers of a list
 LINE_MOST = 8 << 20  # bytes of one line of a watch
+SILENT = 7.0  # s after which a watch is over; an empty line comes every 2 s
 _STATES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
@@ -113,11 +114,14 @@
         return News(scope, tuple(kept.values()), tuple(passed))
 
     def _changes(self, found: dict[str, Entry], passed: list[str]) -> News | None:
-        for server, entry in found.items():
+        for server, entry in list(found.items()):
             if entry[4] == "gone":
                 self.servers.pop(server, None)
             elif server in self.servers or len(self.servers) < SERVERS_MOST:
                 self.servers[server] = entry
+            else:
+                passed.append(f"{server!r}: more than {SERVERS_MOST} servers")
+                del found[server]
         return News("changes", tuple(found.values()), tuple(passed)) if found or passed else None
 
     def _entry(self, raw: bytes, place: int, passed: list[str]) -> Entry | None:
--- a/swiftchute/platform/front.py
+++ b/swiftchute/platform/front.py
@@ -1,6 +1,6 @@
 """All connections of one planner, between its round loop and its sockets. No I/O.
 
-    front = Front(settings, limits, loop)
+    front = Front(loop, sockets)
     stream = front.opened(now); stream.received(data, now); front.closed(stream, cause)
     front.listed(scope, entries)        # from discovery
     for stream, data in front.turn(now): ...
@@ -11,8 +11,7 @@
 """
 
 import math
-from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from collections.abc import Iterable, Iterator, KeysView
 from typing import Any
 
 from swiftchute.interface import Entry
@@ -31,22 +30,16 @@
 UNJOINED_MOST = 256  # connections that may wait to join, descriptors allowing
 COLLECTORS_MOST = 4  # connections of collectors, by zone
 SPAN_MOST = 600 * S  # a report of a longer span is none
+OUT_MOST = 256 * 1024  # bytes waiting in this process for a client that reads nothing: it is let go
 SPOILT_LOGGED = 3  # spoilt messages that are told one by one; the rest is counted
 
 
-@dataclass(frozen=True)
-class Limits:
-    """What the platform lets a planner have."""
-
-    sockets: int = 1024
-
-
 class Front:
     """The state of a planner's address."""
 
-    def __init__(self, loop: Loop, limits: Limits) -> None:
-        """No connection is open."""
-        self.loop, self.limits, self.set = loop, limits, loop.set
+    def __init__(self, loop: Loop, sockets: int) -> None:
+        """No connection is open; `sockets` are the descriptors that this process may hold."""
+        self.loop, self.sockets, self.set = loop, sockets, loop.set
         self.operations = {op.name for op in self.set.operations}
         self.zones = set(self.set.zones)
         self.longest = 2 * max((op.timeout for op in self.set.operations), default=S)
@@ -55,13 +48,12 @@
         self.collectors: dict[Stream, None] = {}
         self.unjoined: dict[Stream, None] = {}  # the oldest first
         self.ending: list[Stream] = []  # to be closed by the shell
-        self.known: dict[str, None] = {}  # servers that reports may name: listed, and lately gone
         self.shut: set[str] = set()  # what was withdrawn when proxies were last written to
-        self.held: set[int] = set()  # proxies that something could not be written to
-        self.pending: dict[int, int | None] = {}  # the newest mark of each of those
+        self.pending: dict[int, int | None] = {}  # proxies that could not be written to: their newest mark
         self.counts = dict.fromkeys(
             ("opened", "joined", "left", "replaced", "refused", "crowded", "late", "silent", "spoilt",
-             "reports", "acks", "messages", "lines", "bytes", "merged", "too_large"), 0,
+             "reports", "acks", "messages", "lines", "bytes", "merged", "too_large", "out_bytes",
+             "collectors_closed", "marks_lost"), 0,
         )  # fmt: skip
 
     # -- connections
@@ -72,7 +64,7 @@
         self.counts["opened"] += 1
         self.unjoined[stream] = None
         taken = RESERVE + len(self.streams) + len(self.collectors)
-        most = max(min(UNJOINED_MOST, self.limits.sockets - taken), 8)
+        most = max(min(UNJOINED_MOST, self.sockets - taken), 8)
         while len(self.unjoined) > most:
             self.counts["crowded"] += 1
             self._refuse(next(iter(self.unjoined)), "too many connections")
@@ -94,7 +86,6 @@
 
     def _left(self, proxy: int, cause: str) -> None:
         del self.streams[proxy]
-        self.held.discard(proxy)
         self.pending.pop(proxy, None)
         self.writer.left(proxy)
         self.loop.left(proxy)
@@ -174,6 +165,7 @@
         same = [s for s in self.collectors if s.zone == message.zone]
         if len(same) >= COLLECTORS_MOST:  # a collector that comes again: the oldest is the dead one
             self.collectors.pop(same[0])
+            self.counts["collectors_closed"] += 1
             same[0].end("too many collectors of the zone")
             self.ending.append(same[0])
         self.unjoined.pop(stream, None)
@@ -202,7 +194,7 @@
             return "a report of outcomes on a proxy's stream"
         if message.zone not in self.zones:
             return f"zone {message.zone!r} is not known"
-        if message.server not in self.known:
+        if not self._known(message.server):
             return f"server {message.server!r} was not listed"
         good = message.tries - message.failed
         mean = message.mean_ms
@@ -246,19 +238,24 @@
         """News from discovery, in the words of `interface`."""
         entries = list(entries)
         self.writer.listed(entries, scope in ("whole", "held"))
-        for entry in entries:
-            self.known.pop(entry[0], None)
-            self.known[entry[0]] = None
         self.loop.news_of_list(scope, entries)
-        most = 2 * len(self.loop.list) + 1000
-        for server in list(self.known) if len(self.known) > most else ():
-            if len(self.known) <= most:
-                break
-            if server not in self.loop.list:
-                del self.known[server]
+
+    def _known(self, server: str) -> bool:
+        """Reports may name servers that are listed, and those lately gone."""
+        return server in self.loop.list or server in self.writer.gone
+
+    @property
+    def known(self) -> set[str]:
+        """All that reports may name."""
+        return self.loop.list.keys() | self.writer.gone.keys()
 
     # -- a turn
 
+    @property
+    def held(self) -> KeysView[int]:
+        """Proxies that something could not be written to yet."""
+        return self.pending.keys()
+
     @property
     def due(self) -> int:
         """When the next turn is due."""
@@ -273,11 +270,10 @@
         self.writer.begin()
         if done is not None:
             yield from self._ordered(done, now)
-        for proxy in list(self.held):
+        for proxy in list(self.pending):
             stream = self.streams[proxy]
             if self._room(stream, now):
-                self.held.discard(proxy)
-                made = self._write(proxy, stream, self.pending.pop(proxy, None), self.loop.orders.shut, now)
+                made = self._write(proxy, stream, self.pending.pop(proxy), self.loop.orders.shut, now)
                 if made:
                     yield stream, made
         self.writer.begin()
@@ -294,9 +290,8 @@
             stream = self.streams.get(proxy)
             if stream is None:
                 continue
-            if proxy in self.held or not self._room(stream, now):
+            if proxy in self.pending or not self._room(stream, now):
                 self.counts["merged"] += 1
-                self.held.add(proxy)
                 self.pending[proxy] = done.seal if done.seal is not None else self.pending.get(proxy)
                 continue
             made = self._write(proxy, stream, done.seal, withdrawn, now)
@@ -317,7 +312,7 @@
             self.loop.event("message too large", proxy=proxy, cause=str(why))
             return b""
         if data:
-            stream.pushed(len(data), seal, now)
+            self.counts["marks_lost"] += stream.pushed(len(data), seal, now)
             self.counts["messages"] += 1
             self.counts["lines"] += lines
             self.counts["bytes"] += len(data)
--- a/swiftchute/platform/shell.py
+++ b/swiftchute/platform/shell.py
@@ -17,10 +17,9 @@
 
 from swiftchute.planner.loop import Loop
 from swiftchute.platform import settings as reader
-from swiftchute.platform.catalog import BadWatch, Catalog, Watch
-from swiftchute.platform.front import Front, Limits
+from swiftchute.platform.catalog import SILENT, BadWatch, Catalog, Watch
+from swiftchute.platform.front import OUT_MOST, Front
 from swiftchute.platform.settings import BadSettings, Told
-from swiftchute.platform.stream import Stream
 from swiftchute.policy import Planner
 
 MS, S = 1_000_000, 1_000_000_000
@@ -28,9 +27,7 @@
 TEND_EVERY = 0.1  # s
 FIGURES_EVERY = 10.0  # s
 BACKLOG = 1024
-OUT_MOST = 256 * 1024  # bytes waiting in this process for a client that reads nothing: it is let go
 DIAL_WITHIN = 1.5  # s
-SILENT = 7.0  # s; an empty line comes every 2 s
 WAIT_FIRST, WAIT_MOST = 0.1, 2.0  # s between two dials, with jitter
 OLD_WATCH_FOR = 2.0  # s; an old discovery that goes on is let go then
 
@@ -55,35 +52,36 @@
         self.shell.end_some()
 
     def data_received(self, data: bytes) -> None:
-        stream = self.stream
-        stream.received(data, self.shell.clock())
-        if stream.out:
-            out, stream.out = stream.out, []
-            self.write(b"".join(out))
-        if stream.ended is not None:
-            self.close()
-        self.shell.kick()
+        self.stream.received(data, self.shell.clock())
+        self.flush()
+        if self.stream.ended is not None:
+            self.transport.close()
+        self.shell.heard()
 
     def write(self, data: bytes) -> None:
         if self.transport.is_closing():
             return
         self.transport.write(data)
         if self.transport.get_write_buffer_size() > OUT_MOST:
-            self.shell.past("out_bytes")
+            self.shell.front.counts["out_bytes"] += 1
             self.transport.abort()
 
+    def flush(self) -> None:
+        """Write what the stream itself has to say."""
+        if self.stream.out:
+            out, self.stream.out = self.stream.out, []
+            self.write(b"".join(out))
+
     def close(self) -> None:
         """Write what is still owed and close."""
-        out, self.stream.out = self.stream.out, []
-        if out:
-            self.write(b"".join(out))
+        self.flush()
         self.transport.close()
 
     def connection_lost(self, why: Exception | None) -> None:
         cause = self.stream.ended or (f"the connection broke: {why}" if why else "the connection ended")
         self.shell.clients.discard(self)
         self.shell.front.closed(self.stream, cause)
-        self.shell.kick()
+        self.shell.heard()
 
 
 class _Discovery(asyncio.Protocol):
@@ -101,9 +99,6 @@
 
     def data_received(self, data: bytes) -> None:
         self.heard = time.monotonic()
-        self._take(data)
-
-    def _take(self, data: bytes) -> None:
         try:
             for news in self.watch.received(data):
                 self.shell.news(news)
@@ -133,9 +128,8 @@
         self.random = random.Random(told.seed)
         self.catalog = Catalog(told.settings.zones)
         self.loop = Loop(told.settings, told.seed, Planner, self.clock())
-        self.front = Front(self.loop, Limits(told.sockets))
+        self.front = Front(self.loop, told.sockets)
         self.clients: set[_Client] = set()
-        self.past_bounds: dict[str, int] = {}
         self.rounds_cpu = 0
         self.address = told.discovery
         self.watching: asyncio.Task | None = None
@@ -177,8 +171,13 @@
 
     # -- rounds
 
+    def heard(self) -> None:
+        """Bytes came or a connection ended: a round is due if that is anything to the module."""
+        if self.loop.calls and self.loop.planner is not None:  # else it waits after a fault: `due` wakes it
+            self.kick()
+
     def kick(self) -> None:
-        """Something came in: a round is due, 5 ms after the last one at the soonest."""
+        """A round is due, 5 ms after the last one at the soonest."""
         if self.armed is None:
             wait = max(self.last + ROUND_EVERY - self.clock(), 0) / S
             self.armed = self.events.call_later(wait, self._after_reading)
@@ -197,25 +196,17 @@
         for event, fields in self.loop.take_events():
             self.log(event, **fields)
         self.end_some()
-        if self.loop.calls:
-            self.kick()
-        else:
-            wait = max(self.front.due - self.clock(), ROUND_EVERY) / S
-            self.idle(wait)
-
-    def idle(self, wait: float) -> None:
-        """A round with nothing come in, for what is due by time."""
         if self.sleeping is not None:
             self.sleeping.cancel()
-        self.sleeping = self.events.call_later(wait, self.kick)
+        self.sleeping = self.events.call_later(max(self.front.due - self.clock(), ROUND_EVERY) / S, self.kick)
+        self.heard()
 
     def tend(self) -> None:
         """Look at connections that wait."""
         self.events.call_later(TEND_EVERY, self.tend)
         self.front.tend(self.clock())
         self.end_some()
-        if self.loop.calls:
-            self.kick()
+        self.heard()
 
     def end_some(self) -> None:
         """Close what the front let go."""
@@ -223,16 +214,12 @@
         for stream in ending:
             stream.tag.close()
 
-    def past(self, bound: str) -> None:
-        """A bound acted."""
-        self.past_bounds[bound] = self.past_bounds.get(bound, 0) + 1
-
     def figures(self) -> None:
         """A line with what was counted since the start."""
         self.events.call_later(FIGURES_EVERY, self.figures)
         front, loop = self.front, self.loop
         self.log(
-            "figures", **front.counts, **loop.counts, **self.past_bounds, proxies=len(front.streams),
+            "figures", **front.counts, **loop.counts, proxies=len(front.streams),
             unjoined=len(front.unjoined), held=len(front.held), servers=len(loop.list),
             known=len(front.known), stale_lists=self.catalog.stale,
             cpu_ms=time.process_time_ns() // MS, rounds_cpu_ms=self.rounds_cpu // MS,
@@ -317,10 +304,8 @@
             if getattr(told, field) != getattr(self.told, field):
                 self.log("not taken", field=field, cause="a new start is needed")
         self.log("reloaded", discovery="{}:{}".format(*told.discovery))
-        self.front.limits = Limits(told.sockets)
+        self.front.sockets = told.sockets
         self.told = told
         if told.discovery != self.address:
             self.watch_at(told.discovery)
 
-
-__all__ = ["Shell", "Stream"]
--- a/swiftchute/platform/stream.py
+++ b/swiftchute/platform/stream.py
@@ -118,14 +118,16 @@
 
     # -- marks
 
-    def pushed(self, size: int, seal: int | None, now: int) -> None:
-        """A message was written."""
+    def pushed(self, size: int, seal: int | None, now: int) -> bool:
+        """A message was written; True if the oldest mark counts as lost for it."""
         self.sent += size
         self.wrote = now
         if seal is not None:
             self.marks.append((seal, self.sent, now))
-            if len(self.marks) > MARKS_MOST:
-                self.marks.popleft()
+        lost = len(self.marks) > MARKS_MOST
+        if lost:
+            self.marks.popleft()
+        return lost
 
     def applied(self, mark: int) -> bool:
         """The proxy answers for a mark and all before it; False if it owes no such mark."""
--- a/swiftchute/platform/writer.py
+++ b/swiftchute/platform/writer.py
@@ -25,7 +25,7 @@
 
 PART_LINES = 2000  # lines of one part of a message; far below the protocol's size of a message
 PARTS_MOST = 64  # parts of one message, the protocol's limit
-GONE_MOST = 4096  # ids that left the list and are remembered
+GONE_MOST = 1000  # ids that left the list and are remembered: they may come back, late reports name them
 CACHE_MOST = 64  # encoded messages that proxies of a round may share
 
 
@@ -153,8 +153,6 @@
         held.shut = (held.shut | set(out)) - set(back)
         if held.strange:
             held.cleared = (held.cleared | set(out) | set(back)) & (self.started.keys() | held.shut)
-        else:
-            held.shut &= self.orders.shut
         return made
 
     def _doors(
@@ -185,7 +183,7 @@
             full = before is None or before.number != after.number
             if not full and any(p in before.levels and p not in after.levels for p in places):
                 full = True  # only a whole table forgets a level
-            if full or before is None:
+            if full:
                 lines, levels = after.lines, {p: after.levels[p] for p in places if p in after.levels}
             else:
                 lines = {s: w for s, w in after.lines.items() if before.lines.get(s) != w}
--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -254,10 +254,11 @@
             if tries < ENOUGH:
                 server.tuned = max(server.tuned, min(server.tuned * RETURN, 1.0))
                 continue
-            most = 1.0 if self.cold(server) else TUNED[1]  # a server under little load looks fast
+            cold = self.cold(server)
+            most = 1.0 if cold else TUNED[1]  # a server under little load looks fast
             target = min(max(usual / cost, TUNED[0]), most)
             fails = errored > FAILS * tries and target < server.tuned  # time-outs are late news already
-            server.tuned *= (target / server.tuned) ** (1.0 if fails else STEP if most == 1.0 else step)
+            server.tuned *= (target / server.tuned) ** (1.0 if fails else STEP if cold else step)
             self.mode(f"cut {name}", server.tuned < CUT, f"{errored} of {tries} tries errored,"
                       f" {cost / MS:.0f} ms a good answer, usual {usual / MS:.0f}")
         for zone in self.set.zones:
@@ -537,6 +538,8 @@
 
     def forget(self):
         """Past the bound the servers first listed among those gone are forgotten, if no table names them."""
+        if len(self.servers) <= GONE:
+            return
         gone = [n for n, s in self.servers.items() if s.state == "gone"]
         if len(gone) <= GONE or any(proxy.group is None for proxy in self.proxies.values()):
             return
@@ -544,6 +547,7 @@
         for name in gone[:-GONE]:
             if name not in named:
                 del self.servers[name]
+                self.modes.discard(f"cut {name}")
                 if name in self.shut:  # it concerns nobody any more: no line goes out
                     self.out.withdraw(name, False)
                     self.shut.remove(name)
--- a/tests/test_platform_catalog.py
+++ b/tests/test_platform_catalog.py
@@ -147,3 +147,12 @@
         catalog.line(line(50 + 2 * k, False, member(f"s{k}")), False)
         catalog.line(line(51 + 2 * k, False, member(f"s{k}", "Gone")), False)
     assert set(catalog.servers) == {"a", "b"}
+
+
+def test_servers_past_the_bound_are_passed_over_and_told(catalog, monkeypatch):
+    monkeypatch.setattr(module, "SERVERS_MOST", 3)
+    catalog.line(line(42, False, member("c")), False)
+    news = catalog.line(line(43, False, member("d"), member("a", "Terminating")), False)
+    assert names(news) == [("a", "draining")]
+    assert news.passed == ("'d': more than 3 servers",)
+    assert set(catalog.servers) == {"a", "b", "c"}
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -8,7 +8,7 @@
 from swiftchute.interface import Settings
 from swiftchute.planner.loop import Loop
 from swiftchute.platform import front as module
-from swiftchute.platform.front import Front, Limits
+from swiftchute.platform.front import Front
 from swiftchute.platform.stream import FIRST_MOST, Stream
 from swiftchute.policy import S
 
@@ -32,7 +32,7 @@
         self.decider, self.now = Fixed(), 1000 * S
         facts = FACTS | {"operations": (operation("read"), operation("write")), "proxies": 400} | facts
         loop = Loop(Settings(**facts), 7, lambda settings, seed: self.decider, self.now)
-        self.front = Front(loop, Limits(sockets))
+        self.front = Front(loop, sockets)
         self.front.listed("held", [(s, "east", "", 0, "ready", 1.0, 0) for s in "abc"])
 
     def open(self, *said):
@@ -354,3 +354,16 @@
 
 def test_a_stream_is_small():
     assert not hasattr(Stream(World().front, 0), "__dict__")
+
+
+def test_bounds_that_act_are_counted(world):
+    (stream,) = world.bound(1)
+    for k in range(300):  # it reads and answers nothing: small messages, many marks
+        stream.pushed(0, 0, world.now)
+        world.turn(("line", 1, "a", 2.0 + k), ("mark", 10 + k, False))
+        stream.read = stream.sent
+    assert len(stream.marks) == 256
+    assert world.front.counts["marks_lost"] > 0
+    for _ in range(module.COLLECTORS_MOST + 2):
+        world.open(AGENT)
+    assert world.front.counts["collectors_closed"] == 2
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -447,3 +447,14 @@
     assert made.planner.servers["e0"].tuned == pytest.approx(0.25)
     assert made.planner.servers["e1"].tuned > 0.5
     assert made.table().sent["e0"] < 0.3
+
+
+def test_the_modes_of_a_server_are_forgotten_with_it(bench):
+    made = bench()
+    made.start()
+    planner = made.planner
+    for k in range(250):
+        planner.modes.add(f"cut n{k}")
+        made.turn(("listed", ("changes", [made.server(f"n{k}", state="gone")])))
+    assert len(planner.modes) <= 200
+    assert "cut n249" in planner.modes
