After a module's fault drained servers stay shut out and old answers are void

Read, not measured: (1) writer._doors let back every server that the new module had not withdrawn (held.shut - shut, with an empty shut after Loop._fresh), so a proxy that waits for its bind was told to use servers that drain. What the list says is not ready now stays shut. (2) The new module counts its marks from 1 again; stream.applied took a proxy's answer to mark 1 of the failed module for the new one's. Streams now know which of the owed marks are of an earlier module. (3) front.opened closed the oldest of more than 256 connections that had not joined, though a fleet that comes at once is accepted whole before any of it is read; descriptors alone bound it now (reserve of 32 as before). Each has a test in tests/test_platform_front.py that fails with the mend taken out (tried one by one). Other crossings of streams, a joining in the same read as the end, a kill behind the accept, a late end of the old stream before and after an answer on the new one, calls during the wait after faults, are tested and needed no mend.

--- a/swiftchute/platform/front.py
+++ b/swiftchute/platform/front.py
@@ -26,8 +26,8 @@
 UNREAD_MOST = 40 * 1024  # bytes that a proxy may leave unread before what follows is merged
 HELD_WAIT = 5 * S  # a proxy that proves nothing read is tried again so often, by one message
 SILENT = 15 * S  # a proxy that owes a mark and says nothing for so long has left
+UNJOINED_LEAST = 8  # connections that may wait to join, whatever the descriptors
 RESERVE = 32  # descriptors kept for what is no client's: files, discovery, listeners, the loop's own
-UNJOINED_MOST = 256  # connections that may wait to join, descriptors allowing
 COLLECTORS_MOST = 4  # connections of collectors, by zone
 SPAN_MOST = 600 * S  # a report of a longer span is none
 OUT_MOST = 256 * 1024  # bytes waiting in this process for a client that reads nothing: it is let go
@@ -63,8 +63,8 @@
         stream = Stream(self, now)
         self.counts["opened"] += 1
         self.unjoined[stream] = None
-        taken = RESERVE + len(self.streams) + len(self.collectors)
-        most = max(min(UNJOINED_MOST, self.sockets - taken), 8)
+        # By descriptors alone: a whole fleet may come at once, read only after all of it was accepted.
+        most = max(self.sockets - RESERVE - len(self.streams) - len(self.collectors), UNJOINED_LEAST)
         while len(self.unjoined) > most:
             self.counts["crowded"] += 1
             self._refuse(next(iter(self.unjoined)), "too many connections")
@@ -178,10 +178,12 @@
             return "an answer of another proxy"
         if message.took_ms * MS > SPAN_MOST:
             return f"took_ms {message.took_ms:g}"
-        if not stream.applied(message.mark):
+        asked = stream.applied(message.mark)
+        if asked is None:
             return f"mark {message.mark} was not asked for"
         self.counts["acks"] += 1
-        self.loop.tell(("applied", (stream.proxy, message.mark, int(message.took_ms * MS))))
+        if asked:
+            self.loop.tell(("applied", (stream.proxy, message.mark, int(message.took_ms * MS))))
         return None
 
     def _span(self, message: messages.Outcomes | messages.Demand) -> str | None:
@@ -267,6 +269,8 @@
         if self.loop.orders is not self.writer.orders:  # the module started anew after a fault
             self.writer.fresh(self.loop.orders)
             self.shut = set()
+            for stream in self.streams.values():
+                stream.fresh()
         self.writer.begin()
         if done is not None:
             yield from self._ordered(done, now)
--- a/swiftchute/platform/stream.py
+++ b/swiftchute/platform/stream.py
@@ -28,7 +28,7 @@
 
     __slots__ = (
         "front", "since", "heard", "rest", "out", "ended", "proxy", "zone", "marks", "sent", "read", "late",
-        "tag", "wrote",
+        "tag", "wrote", "old",
     )  # fmt: skip
 
     def __init__(self, front: "Front", now: int) -> None:
@@ -40,6 +40,7 @@
         self.proxy: int | None = None
         self.zone: str | None = None  # a collector's
         self.marks: deque[tuple[int, int, int]] = deque()  # mark, bytes written with it and before, when
+        self.old = 0  # of these, those that a module asked for which has failed since
         self.sent = self.read = 0  # bytes written, and those a mark has proved read
         self.wrote = now  # when a message was last written
         self.late = False  # past its time to join, seen once
@@ -127,18 +128,28 @@
         lost = len(self.marks) > MARKS_MOST
         if lost:
             self.marks.popleft()
+            self.old = max(self.old - 1, 0)
         return lost
 
-    def applied(self, mark: int) -> bool:
-        """The proxy answers for a mark and all before it; False if it owes no such mark."""
+    def fresh(self) -> None:
+        """The module was started anew, and counts its marks from the beginning again."""
+        self.old = len(self.marks)
+
+    def applied(self, mark: int) -> bool | None:
+        """The proxy answers for a mark and all before it; None if it owes no such mark, and False if that
+        was a mark of a module that has failed since: the one of now may ask for the same number."""
         if not any(mark == owed for owed, _, _ in self.marks):
-            return False
-        while self.marks:
-            owed, upto, _ = self.marks.popleft()
+            return None
+        answered = 0
+        for owed, upto, _ in list(self.marks):
+            self.marks.popleft()
+            answered += 1
             self.read = max(self.read, upto)
             if owed == mark:
                 break
-        return True
+        now = answered > self.old
+        self.old = max(self.old - answered, 0)
+        return now
 
     def waiting(self) -> int | None:
         """Since when the oldest mark waits."""
--- a/swiftchute/platform/writer.py
+++ b/swiftchute/platform/writer.py
@@ -65,6 +65,7 @@
         self.life = 0
         self.started: dict[str, int] = {}  # listed servers, by their last start
         self.suspect: set[str] = set()  # of those, which some planner may have shut out
+        self.unready: set[str] = set()  # listed as draining, or gone
         self.gone: dict[str, None] = {}  # ids that left the list, the newest last: they may come back
         self.cache: dict[Any, tuple[bytes, int]] = {}
 
@@ -100,14 +101,18 @@
             if state != "ready" or (known != started and not new and started):
                 self.suspect.add(server)
             self.started[server] = started
+            (self.unready.discard if state == "ready" else self.unready.add)(server)
         self.suspect &= self.started.keys()
 
     def _gone(self, server: str) -> None:
         if self.started.pop(server, None) is not None:
             self.gone.pop(server, None)
             self.gone[server] = None
+            self.unready.add(server)
             if len(self.gone) > GONE_MOST:
-                del self.gone[next(iter(self.gone))]
+                forgotten = next(iter(self.gone))
+                del self.gone[forgotten]
+                self.unready.discard(forgotten)
 
     # -- contents
 
@@ -162,11 +167,12 @@
         shut = self.orders.shut
         if not contents:
             out = {s for s in withdrawn if s in shut} - held.shut
-            return sorted(out), sorted(held.shut - shut)
+            return sorted(out), sorted(held.shut - shut - self.unready)
         named: set[str] = set()
         for content in set(contents.values()):
             named |= content.lines.keys()
-        back = held.shut - shut
+        # What the list says is not ready stays shut, also when a module started anew that withdrew nothing.
+        back = held.shut - shut - self.unready
         if held.strange and self.suspect:
             back |= (named & self.suspect) - shut - held.cleared
         return sorted((named & shut) - held.shut), sorted(back)
--- a/tests/test_platform_front.py
+++ b/tests/test_platform_front.py
@@ -334,6 +334,113 @@
     assert json.loads(data)["full"]
 
 
+def fault(world):
+    """The module fails and is started anew."""
+    world.turn(("line", 1, "a", float("nan")))
+    assert "module fault" in [event for event, _ in world.front.loop.take_events()]
+    world.now += S
+    assert list(world.front.turn(world.now)) == []
+
+
+def test_a_module_started_anew_lets_back_only_what_is_listed_as_ready(world):
+    """A proxy that waits for its bind holds tables of others: what drains has to stay shut out there."""
+    world.open(HELLO)
+    world.front.listed("changes", [("b", "east", "", 0, "draining", 1.0, 0)])
+    ((_, data),) = world.turn(("withdraw", "b", True), ("withdraw", "c", True), ("mark", 5, False))
+    assert json.loads(data)["eject"] == ["b", "c"]
+    fault(world)
+    ((_, data),) = world.turn(("mark", 1, True))
+    assert json.loads(data)["restore"] == ["c"]
+    world.front.listed("changes", [("b", "east", "", 0, "ready", 1.0, 0)])
+    ((_, data),) = world.turn(("mark", 2, True))
+    assert json.loads(data)["restore"] == ["b"]
+
+
+def test_an_answer_to_a_module_that_failed_is_none_to_the_next_one(world):
+    (stream,) = world.bound(1)
+    world.turn(("line", 1, "a", 2.0), ("mark", 1, False))
+    fault(world)
+    world.turn(("line", 1, "b", 1.0), ("bind", 1, 1, 0), ("mark", 1, False))
+    world.say(stream, ACK | {"mark": 1})  # two are owed: it answers the first
+    assert world.calls("applied") == []
+    assert world.front.counts["acks"] == 2
+    world.say(stream, ACK | {"mark": 1})
+    assert world.calls("applied") == [(1, 1, 310_500_000)]
+    assert not stream.marks
+    assert world.front.counts["spoilt"] == 0
+
+
+def test_what_comes_while_the_module_waits_to_be_started_anew_is_kept_or_void(world):
+    stays, goes = world.bound(1, 2)
+    for _ in range(6):  # it fails again and again, and so waits
+        world.turn(("line", 1, "a", float("nan")), wait=0.01)
+        list(world.front.turn(world.now))
+    assert world.front.loop.planner is None
+    late = world.open(HELLO | {"proxy": 3})
+    world.front.closed(goes, "the connection ended")
+    again = world.open(HELLO | {"proxy": 2, "fresh": False})
+    agent = world.open(AGENT, OUTCOMES)
+    world.say(stays, DEMAND)
+    world.front.listed("changes", [("d", "east", "", 0, "ready", 1.0, 0),
+                                   ("b", "east", "", 0, "gone", 1.0, 0)])  # fmt: skip
+    assert list(world.front.turn(world.now)) == []
+    world.now += 10 * S
+    seen = []
+    world.decider.decide = lambda now, calls, writer: seen.extend(calls)
+    list(world.front.turn(world.now))
+    (scope, entries), *joins = [arguments for _, arguments in seen]
+    assert scope == "held"
+    assert [entry[0] for entry in entries] == ["a", "c", "d"]
+    assert sorted(joins) == [(p, "east", 2.5, False) for p in (1, 2, 3)]
+    assert [s.ended for s in (stays, late, again, agent)] == [None] * 4
+
+
+def test_a_joining_in_the_same_read_as_the_end_leaves_nothing(world):
+    stream = world.open(text(HELLO) + text(DEMAND) + b'{"msg":"ack","pro')
+    world.front.closed(stream, "the connection ended")
+    assert [name for name, _ in world.front.loop.calls] == ["listed", "joined", "arrived", "left"]
+    assert list(world.turn(("line", 1, "a", 1.0), ("bind", 1, 1, 0), ("mark", 5, True))) == []
+    assert not world.front.streams
+    assert not world.front.writer.proxies
+    assert not world.front.loop.orders.proxies
+
+
+def test_a_client_killed_straight_behind_its_accept_is_nothing(world):
+    for _ in range(1000):
+        world.front.closed(world.open(), "the connection broke")
+    assert not world.front.unjoined
+    assert [name for name, _ in world.front.loop.calls] == ["listed"]
+
+
+@pytest.mark.parametrize("first", ["old end", "new answer"])
+def test_the_old_streams_late_end_and_an_answer_on_the_new_one_in_both_orders(world, first):
+    (old,) = world.bound(1)
+    world.turn(("line", 1, "a", 2.0), ("mark", 6, False))
+    new = world.open(HELLO | {"fresh": False})
+    world.turn(("bind", 1, 1, 0), ("mark", 7, False))
+    if first == "old end":
+        world.front.closed(old, "the connection broke")
+    world.say(old, ACK | {"mark": 6})  # its bytes lay in the socket
+    world.say(new, ACK | {"mark": 7})
+    if first != "old end":
+        world.front.closed(old, "the connection broke")
+    assert world.calls("applied") == [(1, 7, 310_500_000)]
+    assert world.calls("left") == []
+    assert world.front.streams == {1: new}
+    assert world.front.counts["left"] == 1
+
+
+def test_a_whole_fleet_that_comes_in_one_turn_is_read_before_any_gives_way():
+    world = World(sockets=1024)
+    streams = [world.open() for _ in range(900)]  # accepted one after the other, none read yet
+    assert not world.front.ending
+    world.say(streams[0], {"msg": "probe"})
+    assert errors(streams[0]) == [{"msg": "alive"}]
+    for p, stream in enumerate(streams[1:401]):
+        world.say(stream, HELLO | {"proxy": p})
+    assert len(world.front.streams) == 400
+
+
 def test_state_levels_off_over_many_servers_and_streams(world):
     for k in range(10_000):
         name = f"s{k}"
