Settings are checked field by field before they are used; any legal ones start and serve

A wrong type was told without its field. Now msgspec checks the form, settings.py names file, field and cause, and listen and discovery have to be addresses, as nothing here may wait for a name.

--- a/swiftchute/platform/__main__.py
+++ b/swiftchute/platform/__main__.py
@@ -3,18 +3,22 @@
 import os
 import sys
 
-import uvloop
-
-from swiftchute.platform import settings
-from swiftchute.platform.log import Log
-from swiftchute.platform.shell import Shell
+from swiftchute.platform.early import Early
 
 
 def main() -> int:
     """Serve until SIGTERM; 2 where the configuration cannot be used."""
+    signals = Early()
+    import uvloop  # these take most of the start: a signal may come meanwhile
+
+    from swiftchute.platform import settings
+    from swiftchute.platform.log import Log
+    from swiftchute.platform.shell import Shell
+
     try:
         told = settings.read(os.environ)
-        uvloop.run(Shell(told, os.environ, Log(told.name)).run())
+        shell = Shell(told, os.environ, Log(told.name))
+        uvloop.new_event_loop().run_until_complete(shell.run(signals))
     except settings.BadSettings as why:
         print(f"swiftchute.platform: {why}", file=sys.stderr)
         return 2
@@ -22,4 +26,7 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    code = main()
+    sys.stderr.flush()
+    # The loop was not closed: its handlers stay, so that a second SIGTERM or a late SIGHUP changes nothing.
+    os._exit(code)
--- a/swiftchute/platform/catalog.py
+++ b/swiftchute/platform/catalog.py
@@ -1,12 +1,17 @@
 """Discovery's list and its watch, over HTTP/1.1 by h11. No I/O, no clock.
 
     catalog = Catalog(zones)
-    news = catalog.held(known)              # the list of the configuration: the first news
+    news = catalog.held(known)                  # the list of the configuration: the first news
     watch = Watch(catalog, host)
-    watch.request()                         # bytes to write; the watch goes on from the last revision
-    for news in watch.received(data): ...   # News; raises BadWatch: dial again, the last good list stays
+    watch.request()                             # bytes to write; the watch goes on from the last revision
+    for news in watch.received(data, now): ...  # News; raises BadWatch: dial again, the last good list stays
+    news = watch.caught_up(now)                 # from time to time, while `watch.behind`
 
 An entry that cannot be used is passed over and counted; what is known of its server stands.
+
+A watch that begins with a whole list of an older revision is of a discovery that lags, or of one that
+started over: only time tells. Until it has caught up, or for as long as what is to be told may take, it is
+believed in what ends a server alone: a drain or an end of the same life. Then its list is the list.
 """
 
 from collections.abc import Iterator
@@ -22,7 +27,7 @@
 PATH = "/catalog/members"
 SERVERS_MOST = 20_000  # servers of a list
 LINE_MOST = 8 << 20  # bytes of one line of a watch
-SILENT = 7.0  # s after which a watch is over; an empty line comes every 2 s
+CATCH_UP = 6_000_000_000  # ns; what discovery has to tell has arrived by then, the protocol says
 _STATES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
@@ -64,6 +69,15 @@
     passed: tuple[str, ...] = ()
 
 
+@dataclass
+class Behind:
+    """What a watch told that began with an older whole list: that list with the changes since."""
+
+    since: int
+    revision: int
+    servers: dict[str, Entry]
+
+
 @dataclass
 class Catalog:
     """The last good list and its revision; it outlives every watch."""
@@ -75,43 +89,52 @@
 
     def held(self, text: bytes) -> News:
         """The list as this planner last had it. Raises `BadWatch`."""
-        return self._take(self._read(text), "held", True) or News("held", ())
+        given, found, passed = self.read(text)
+        return self._whole(given.revision, self._kept(found, passed), "held", passed)
+
+    def line(self, text: bytes) -> News | None:
+        """One line of a watch that is not behind. Raises `BadWatch`."""
+        given, found, passed = self.read(text)
+        if self.older(given.revision):
+            self.stale += 1  # late: what is known is newer
+            return None
+        if given.complete:
+            return self._whole(given.revision, self._kept(found, passed), "whole", passed)
+        self.revision = given.revision
+        return self._changes(found, passed)
 
-    def line(self, text: bytes, first: bool) -> News | None:
-        """One line of a watch, the first of its connection or a later one. Raises `BadWatch`."""
-        return self._take(self._read(text), "whole", first)
+    def older(self, revision: int) -> bool:
+        """Whether more than this revision is known."""
+        return self.revision is not None and revision < self.revision
 
-    def _read(self, text: bytes) -> _List:
+    def read(self, text: bytes) -> tuple[_List, dict[str, Entry], list[str]]:
+        """A line with its entries, and those passed over with why. Raises `BadWatch`."""
         try:
             given = _lists.decode(text)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as why:
             raise BadWatch(f"not a list: {why}") from None
         if len(given.members) > SERVERS_MOST:
             raise BadWatch(f"{len(given.members)} members; {SERVERS_MOST} at most")
-        return given
-
-    def _take(self, given: _List, scope: str, first: bool) -> News | None:
-        old = self.revision is not None and given.revision < self.revision
-        if old and not (first and given.complete):
-            self.stale += 1  # late: what is known is newer. A whole list at a start is discovery's own word
-            return None
         passed: list[str] = []
         found: dict[str, Entry] = {}
         for place, raw in enumerate(given.members, 1):
             entry = self._entry(bytes(raw), place, passed)
             if entry is not None:
                 found[entry[0]] = entry
-        if not given.complete:
-            self.revision = given.revision
-            return self._changes(found, passed)
+        return given, found, passed
+
+    def _kept(self, found: dict[str, Entry], passed: list[str]) -> dict[str, Entry]:
+        """The servers of a whole list."""
         kept = {n: e for n, e in found.items() if e[4] != "gone"}
         if not kept and self.servers:
             raise BadWatch("a whole list without a server")
-        self.revision = given.revision
         if passed:  # one of them may be a server that is known: it is not gone for that
             kept = {n: e for n, e in self.servers.items() if n not in kept} | kept
-        self.servers = kept
-        return News(scope, tuple(kept.values()), tuple(passed))
+        return kept
+
+    def _whole(self, revision: int, servers: dict[str, Entry], scope: str, passed: list[str]) -> News:
+        self.revision, self.servers = revision, servers
+        return News(scope, tuple(servers.values()), tuple(passed))
 
     def _changes(self, found: dict[str, Entry], passed: list[str]) -> News | None:
         for server, entry in list(found.items()):
@@ -124,6 +147,43 @@
                 del found[server]
         return News("changes", tuple(found.values()), tuple(passed)) if found or passed else None
 
+    # -- a watch that is behind
+
+    def begin_behind(self, text: bytes, now: int) -> tuple[Behind | None, News | None]:
+        """The first line of a watch: what it holds if it is behind, and the news in it. Raises `BadWatch`."""
+        given, found, passed = self.read(text)
+        if not (given.complete and self.older(given.revision)):
+            return None, self.line(text)
+        self.stale += 1
+        return Behind(now, given.revision, self._kept(found, passed)), self._ends(found, passed)
+
+    def follow(self, behind: Behind, text: bytes) -> News | None:
+        """A later line of a watch that is behind. Raises `BadWatch`."""
+        given, found, passed = self.read(text)
+        if given.complete:
+            behind.servers = self._kept(found, passed)
+        else:
+            behind.servers = {n: e for n, e in (behind.servers | found).items() if e[4] != "gone"}
+        if len(behind.servers) > SERVERS_MOST:
+            raise BadWatch(f"more than {SERVERS_MOST} servers")
+        behind.revision = given.revision
+        return self._ends(found, passed)
+
+    def _ends(self, found: dict[str, Entry], passed: list[str]) -> News | None:
+        """Of entries that may be old: drains and ends of a life that goes on here."""
+        ends = {
+            server: entry
+            for server, entry in found.items()
+            if entry[4] != "ready" and server in self.servers and entry[6] >= self.servers[server][6]
+            and entry[4] != self.servers[server][4]
+            and not (entry[4] == "draining" and self.servers[server][4] == "gone")
+        }  # fmt: skip
+        return self._changes(ends, passed)
+
+    def caught_up(self, behind: Behind) -> News:
+        """The list of a watch that was behind is the list now."""
+        return self._whole(behind.revision, dict(behind.servers), "whole", [])
+
     def _entry(self, raw: bytes, place: int, passed: list[str]) -> Entry | None:
         try:
             member = _members.decode(raw)
@@ -148,7 +208,9 @@
         self.http = h11.Connection(h11.CLIENT)
         self.rest = bytearray()
         self.answered = False  # the answer's head has come
+        self.begun = False  # a line came, be it an empty one
         self.told = False  # a list or changes came on this connection
+        self.behind: Behind | None = None
 
     def request(self) -> bytes:
         """The request of the watch, from the last revision on."""
@@ -160,7 +222,7 @@
         )
         return (self.http.send(asked) or b"") + (self.http.send(h11.EndOfMessage()) or b"")
 
-    def received(self, data: bytes) -> Iterator[News]:
+    def received(self, data: bytes, now: int) -> Iterator[News]:
         """Take in bytes, in pieces of any size; no bytes are the end of the connection."""
         try:
             self.http.receive_data(data)
@@ -173,22 +235,42 @@
                         raise BadWatch(f"status {event.status_code}")
                     self.answered = True
                 elif isinstance(event, h11.Data):
-                    yield from self._lines(bytes(event.data))
+                    yield from self._lines(bytes(event.data), now)
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                     raise BadWatch("the watch ended")
         except h11.RemoteProtocolError as why:
             raise BadWatch(f"not HTTP: {why}") from None
 
-    def _lines(self, data: bytes) -> Iterator[News]:
+    def _lines(self, data: bytes, now: int) -> Iterator[News]:
         self.rest += data
         if b"\n" in data:
             *lines, rest = bytes(self.rest).split(b"\n")
             self.rest = bytearray(rest)
+            self.begun = True
             for line in lines:
                 if line.strip():
-                    first, self.told = not self.told, True
-                    news = self.catalog.line(line, first)
+                    news = self._line(line, now)
+                    if news is not None:
+                        yield news
+                    news = self.caught_up(now)
                     if news is not None:
                         yield news
         if len(self.rest) > LINE_MOST:
             raise BadWatch(f"a line of more than {LINE_MOST} bytes")
+
+    def _line(self, line: bytes, now: int) -> News | None:
+        first, self.told = not self.told, True
+        if first:
+            self.behind, news = self.catalog.begin_behind(line, now)
+            return news
+        if self.behind is not None:
+            return self.catalog.follow(self.behind, line)
+        return self.catalog.line(line)
+
+    def caught_up(self, now: int) -> News | None:
+        """Its list becomes the list once it tells of all that is known, or has had the time to."""
+        behind = self.behind
+        if behind is None or self.catalog.older(behind.revision) and now - behind.since < CATCH_UP:
+            return None
+        self.behind = None
+        return self.catalog.caught_up(behind)
--- a/swiftchute/platform/front.py
+++ b/swiftchute/platform/front.py
@@ -29,6 +29,7 @@
 UNJOINED_LEAST = 8  # connections that may wait to join, whatever the descriptors
 RESERVE = 32  # descriptors kept for what is no client's: files, discovery, listeners, the loop's own
 COLLECTORS_MOST = 4  # connections of collectors, by zone
+MEAN_LEAST = 10 * S  # a mean time up to this is believed, however short the timeouts are
 SPAN_MOST = 600 * S  # a report of a longer span is none
 OUT_MOST = 256 * 1024  # bytes waiting in this process for a client that reads nothing: it is let go
 SPOILT_LOGGED = 3  # spoilt messages that are told one by one; the rest is counted
@@ -42,7 +43,7 @@
         self.loop, self.sockets, self.set = loop, sockets, loop.set
         self.operations = {op.name for op in self.set.operations}
         self.zones = set(self.set.zones)
-        self.longest = 2 * max((op.timeout for op in self.set.operations), default=S)
+        self.longest = max(2 * max(op.timeout for op in self.set.operations), MEAN_LEAST)
         self.writer = Writer(self.set, loop.orders)
         self.streams: dict[int, Stream] = {}  # by proxy
         self.collectors: dict[Stream, None] = {}
--- a/swiftchute/platform/settings.py
+++ b/swiftchute/platform/settings.py
@@ -3,13 +3,18 @@
 
     told = read(environment)        # raises BadSettings: file, field and cause
 
-`settings` in it is read by `wirehost.codec.settings`, as on the simulator's wire.
+`settings` in it is checked here, field by field, and read by `wirehost.codec.settings`, as on the simulator's
+wire.
 """
 
+import ipaddress
 import json
+import re
 from collections.abc import Mapping
-from dataclasses import dataclass
-from typing import Any
+from dataclasses import dataclass, replace
+from typing import Annotated, Any, Literal
+
+import msgspec
 
 from swiftchute.interface import Settings
 from swiftchute.wirehost import codec
@@ -19,6 +24,90 @@
 SOCKETS_USUAL = 1024
 
 
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+_amount, _divides = msgspec.Meta(ge=0, le=10**15), msgspec.Meta(ge=1, le=10**15)  # times are microseconds
+Amount = Annotated[int, _amount] | Annotated[float, _amount]
+Divides = Annotated[int, _divides] | Annotated[float, _divides]
+_way = msgspec.Meta(ge=0, le=3)
+
+
+class _Class(msgspec.Struct):
+    name: Text
+    slo_us: Divides
+    deadline_us: Divides
+    credit: Amount
+    semantics: Literal["free", "guarded", "single_shot"]
+    late_value: Amount | None = None
+    group: str | None = None
+    window_us: Amount | None = None
+
+
+class _Permissions(msgspec.Struct):
+    probes: bool | None
+    peer_messages: bool | None
+
+
+class _Stats(msgspec.Struct):
+    via: str
+    fields: list[str] | None = None
+
+
+class _Rules(msgspec.Struct):
+    drain_grace_us: Amount
+    start_capacity: Amount
+    warm_within_us: Amount
+    fall_multiple: Amount
+    fall_us: Amount
+    ask_within_us: Amount | None = None
+    removal_not_binding: bool | None = None
+
+
+class _Specifics(msgspec.Struct):
+    agents: Amount
+    empty_for_us: Amount
+    ranges: Amount
+    admission: str
+    base_mode: Annotated[int, _way] | Annotated[float, _way]
+    fails_to_eject: Amount
+    initial_set: Amount
+    interval_us: Amount
+    queue_cap: Amount
+    per_message: Amount
+    update_cap: Amount
+    update_window_us: Amount
+    push_delay_us: Amount
+    late_most_us: Amount
+    per_try: Amount | None
+    reports_per_s: Amount | None
+    egress_per_s: Amount | None
+    single_writer: bool | None
+    line_fee: Amount | None = None
+    stays_local: list[bool | None] | None = None
+    class_writes: list[bool | None] | None = None
+
+
+class _Prices(msgspec.Struct):
+    cross_zone: Amount | None = None
+    probe: Amount | None = None
+
+
+class _Form(msgspec.Struct):
+    """The settings as the platform gives them; fields that this program does not use are not looked at."""
+
+    classes: Annotated[list[_Class], msgspec.Meta(min_length=1, max_length=64)]
+    dcs: Annotated[list[Text], msgspec.Meta(min_length=1, max_length=1000)]
+    zone: str
+    ordinal: Amount
+    group_size: Amount
+    registry_mode: str
+    weight_source: str
+    stats: _Stats
+    permissions: _Permissions
+    rules: _Rules
+    specifics: _Specifics
+    prices: _Prices
+
+
 class BadSettings(Exception):
     """A configuration that cannot be used; its text names file, field and cause."""
 
@@ -50,8 +139,9 @@
         raise BadSettings(f"{path}: more than {FILE_MOST} bytes")
     try:
         data = json.loads(text)
+        json.dumps(data, ensure_ascii=False).encode()  # half a surrogate pair can be escaped, but not written
     except (ValueError, RecursionError) as why:
-        raise BadSettings(f"{path}: not JSON: {why}") from None
+        raise BadSettings(f"{path}: not JSON: {str(why)[:200]}") from None
     if not isinstance(data, dict):
         raise BadSettings(f"{path}: not an object")
     for field, variable in (("name", "GW_NAME"), ("listen", "GW_LISTEN"), ("discovery", "GW_DISCOVERY")):
@@ -68,8 +158,8 @@
     seed = data.get("seed", "0")
     try:
         seed = int(seed, 16) if isinstance(seed, str) else int(seed)
-    except (TypeError, ValueError):
-        raise BadSettings(f"{path}: seed: {seed!r} is no number") from None
+    except (TypeError, ValueError, OverflowError):
+        raise BadSettings(f"{path}: seed: {str(seed)[:64]!r} is no number") from None
     known = data.get("known")
     return Told(
         _field(path, data, "name", str),
@@ -94,18 +184,36 @@
 def _address(path: str, data: dict[str, Any], name: str) -> tuple[str, int]:
     text = _field(path, data, name, str)
     host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
-        raise BadSettings(f"{path}: {name}: {text!r} is not address:port")
+    try:
+        ipaddress.ip_address(host.strip("[]"))  # no name, as nothing here may wait for its address
+        usable = port.isascii() and port.isdecimal() and len(port) < 6
+    except ValueError:
+        usable = False
+    if not usable or not 0 < int(port) < 65_536:
+        raise BadSettings(f"{path}: {name}: {text[:64]!r} is not address:port")
     return host.strip("[]"), int(port)
 
 
 def _settings(path: str, data: dict[str, Any]) -> Settings:
+    data = data | {"prices": data.get("prices") or {}}
     try:
-        settings = codec.settings(data)
-    except KeyError as why:
-        raise BadSettings(f"{path}: settings: {why.args[0]}: missing or not known") from None
-    except (TypeError, ValueError, AttributeError) as why:
-        raise BadSettings(f"{path}: settings: a field is of the wrong type: {why}") from None
-    if not settings.operations or not settings.zones:
-        raise BadSettings(f"{path}: settings: no class or no zone in it")
-    return settings
+        form = msgspec.convert(data, _Form)
+    except msgspec.ValidationError as why:
+        cause, _, at = str(why).partition(" - at `$.")
+        at = at.rstrip("`")
+        missing = re.fullmatch(r"Object missing required field `(\w+)`", cause)
+        if missing:
+            at, cause = ".".join(filter(None, (at, missing[1]))), "missing"
+        raise BadSettings(f"{path}: settings: {at + ': ' if at else ''}{cause}") from None
+    for field, names in (("classes", [c.name for c in form.classes]), ("dcs", form.dcs)):
+        if len(set(names)) < len(names):
+            raise BadSettings(f"{path}: settings: {field}: a name stands twice")
+    settings = codec.settings(data)
+    # Counts are whole; and what divides is not 0: a server that is warm at once, a standing table of nothing.
+    return replace(
+        settings,
+        warm_within=max(settings.warm_within, 1),
+        standing=max(int(settings.standing), 1),
+        proxies=int(settings.proxies),
+        usual_tries=int(settings.usual_tries),
+    )
--- a/swiftchute/platform/shell.py
+++ b/swiftchute/platform/shell.py
@@ -17,9 +17,11 @@
 
 from swiftchute.planner.loop import Loop
 from swiftchute.platform import settings as reader
-from swiftchute.platform.catalog import SILENT, BadWatch, Catalog, Watch
+from swiftchute.platform.catalog import BadWatch, Catalog
+from swiftchute.platform.early import Early
 from swiftchute.platform.front import OUT_MOST, Front
 from swiftchute.platform.settings import BadSettings, Told
+from swiftchute.platform.watches import Dial, Link, Watches
 from swiftchute.policy import Planner
 
 MS, S = 1_000_000, 1_000_000_000
@@ -27,9 +29,8 @@
 TEND_EVERY = 0.1  # s
 FIGURES_EVERY = 10.0  # s
 BACKLOG = 1024
-DIAL_WITHIN = 1.5  # s
-WAIT_FIRST, WAIT_MOST = 0.1, 2.0  # s between two dials, with jitter
-OLD_WATCH_FOR = 2.0  # s; an old discovery that goes on is let go then
+CLOSE_WITHIN = 3.0  # s; a client that does not read the last words to it is cut off then
+STOP_WITHIN = 0.3  # s; the same at the end: the platform kills a planner 0.7 s after SIGTERM at the soonest
 
 
 def clock() -> Callable[[], int]:
@@ -46,16 +47,21 @@
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
+        if self.shell.stopped is not None:  # accepted before the listener was closed
+            transport.abort()
+            return
         self.stream = self.shell.front.opened(self.shell.clock())
         self.stream.tag = self
         self.shell.clients.add(self)
         self.shell.end_some()
 
     def data_received(self, data: bytes) -> None:
+        if self.shell.stopped is not None:
+            return
         self.stream.received(data, self.shell.clock())
-        self.flush()
         if self.stream.ended is not None:
-            self.transport.close()
+            self.close()
+        self.flush()
         self.shell.heard()
 
     def write(self, data: bytes) -> None:
@@ -73,49 +79,58 @@
             self.write(b"".join(out))
 
     def close(self) -> None:
-        """Write what is still owed and close."""
-        self.flush()
-        self.transport.close()
+        """Write what is still owed and close; who does not read it is cut off in the end."""
+        if not self.transport.is_closing():
+            self.flush()
+            self.transport.close()
+            if self.transport.get_write_buffer_size():
+                self.shell.events.call_later(CLOSE_WITHIN, self.transport.abort)
 
     def connection_lost(self, why: Exception | None) -> None:
+        if self not in self.shell.clients:
+            return
         cause = self.stream.ended or (f"the connection broke: {why}" if why else "the connection ended")
-        self.shell.clients.discard(self)
+        self.shell.clients.remove(self)
         self.shell.front.closed(self.stream, cause)
         self.shell.heard()
+        self.shell.all_ended()
 
 
 class _Discovery(asyncio.Protocol):
-    """One connection to discovery."""
+    """One connection to discovery, from its dial on."""
+
+    def __init__(self, shell: "Shell", link: Link) -> None:
+        self.shell, self.link = shell, link
+        self.transport: Any = None
+        self.dial = asyncio.ensure_future(self._dial())
 
-    def __init__(self, shell: "Shell", watch: Watch) -> None:
-        self.shell, self.watch = shell, watch
-        self.over = asyncio.get_running_loop().create_future()
-        self.heard = time.monotonic()
-        self.began = asyncio.get_running_loop().create_future()  # done with the head of the answer
+    async def _dial(self) -> None:
+        try:
+            await self.shell.events.create_connection(lambda: self, *self.link.address)
+        except OSError as why:
+            self.shell.unwatched(self.link, f"{type(why).__name__}: {why}")
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
-        transport.write(self.watch.request())
+        asked = self.shell.watches.connected(self.link)
+        if asked is None:  # given up in the instant in which it came up
+            transport.abort()
+        else:
+            transport.write(asked)
 
     def data_received(self, data: bytes) -> None:
-        self.heard = time.monotonic()
-        try:
-            for news in self.watch.received(data):
-                self.shell.news(news)
-        except BadWatch as why:
-            self.end(str(why))
-        if self.watch.answered and not self.began.done():
-            self.began.set_result(None)
+        for news in self.shell.watches.received(self.link, data, self.shell.clock()):
+            self.shell.news(news)
+        self.shell.watch()
 
     def connection_lost(self, why: Exception | None) -> None:
-        self.end(f"the connection broke: {why}" if why else "the connection ended")
+        self.shell.unwatched(self.link, f"the connection broke: {why}" if why else "the connection ended")
 
-    def end(self, cause: str) -> None:
-        if not self.over.done():
-            self.over.set_result(cause)
-        if not self.began.done():
-            self.began.set_result(None)
-        self.transport.abort()
+    def end(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+        else:
+            self.dial.cancel()
 
 
 class Shell:
@@ -131,10 +146,8 @@
         self.front = Front(self.loop, told.sockets)
         self.clients: set[_Client] = set()
         self.rounds_cpu = 0
-        self.address = told.discovery
-        self.watching: asyncio.Task | None = None
-        self.connection: _Discovery | None = None
-        self.tasks: set[asyncio.Task] = set()
+        self.watches = Watches(self.catalog, self.random)
+        self.stopped: asyncio.Event | None = None  # once stopping: set when all connections are over
         self.armed: Any = None  # the timer of a round that is due
         self.sleeping: Any = None  # that of the next one by time
         self.last = 0
@@ -144,8 +157,8 @@
             except BadWatch as why:
                 raise BadSettings(f"{environment.get('GW_CONFIG')}: known: {why}") from None
 
-    async def run(self) -> None:
-        """Serve until an order to stop."""
+    async def run(self, signals: Early | None = None) -> None:
+        """Serve until an order to stop; `signals` are those that came before."""
         self.events = asyncio.get_running_loop()
         stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -157,17 +170,35 @@
         except OSError as why:
             raise BadSettings(f"listen: {host}:{port}: {why}") from None
         self.log("serving", address=f"{host}:{port}", servers=len(self.catalog.servers))
-        self.watch_at(self.told.discovery)
+        self.watches.at(self.told.discovery, self.clock())
+        self.watch()
+        if signals is not None and signals.reload:
+            self.reload()
         self.events.call_later(TEND_EVERY, self.tend)
         self.events.call_later(FIGURES_EVERY, self.figures)
         self.kick()
         gc.collect()
         gc.freeze()
         await stop.wait()
+        await self._stop(server)
+        self.log("stopped", **self.front.counts)
+
+    async def _stop(self, server: Any) -> None:
+        """End all connections: a message is written whole, as far as its proxy reads, or was not begun."""
+        self.stopped = asyncio.Event()
         server.close()
+        for client in list(self.clients):
+            client.transport.close()
+        self.all_ended()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.stopped.wait(), STOP_WITHIN)
         for client in list(self.clients):
             client.transport.abort()
-        self.log("stopped", **self.front.counts)
+
+    def all_ended(self) -> None:
+        """Stopping waits for this."""
+        if self.stopped is not None and not self.clients:
+            self.stopped.set()
 
     # -- rounds
 
@@ -187,6 +218,8 @@
         self.events.call_soon(self.events.call_soon, self._round)
 
     def _round(self) -> None:
+        if self.stopped is not None:
+            return
         now = self.last = self.clock()
         self.armed = None
         began = time.thread_time_ns()
@@ -202,9 +235,13 @@
         self.heard()
 
     def tend(self) -> None:
-        """Look at connections that wait."""
+        """Look at connections that wait, and at the watch."""
         self.events.call_later(TEND_EVERY, self.tend)
-        self.front.tend(self.clock())
+        now = self.clock()
+        self.front.tend(now)
+        for news in self.watches.tend(now):
+            self.news(news)
+        self.watch()
         self.end_some()
         self.heard()
 
@@ -236,62 +273,20 @@
             if news.scope != "held":
                 self.kick()
 
-    def watch_at(self, address: tuple[str, int]) -> None:
-        """Watch discovery there; the watch before goes on until this one is answered."""
-        self.address = address
-        old_task, old = self.watching, self.connection
-        self.watching = self._task(self._watch(address, old_task, old))
-
-    def _task(self, work: Any) -> asyncio.Task:
-        task = asyncio.ensure_future(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
-
-    async def _watch(
-        self, address: tuple[str, int], old_task: asyncio.Task | None, old: _Discovery | None
-    ) -> None:
-        wait, host = WAIT_FIRST, f"{address[0]}:{address[1]}"
-        if old_task is not None:
-            old_task.cancel()  # it dials no more; its connection stays until this one is answered
-        if old is not None:
-            self.events.call_later(OLD_WATCH_FOR, old.end, "the address changed")
-        while True:
-            watch = Watch(self.catalog, host)
-            began = time.monotonic()
-            try:
-                async with asyncio.timeout(DIAL_WITHIN):
-                    _, connection = await self.events.create_connection(
-                        lambda w=watch: _Discovery(self, w), *address
-                    )
-            except (OSError, TimeoutError) as why:
-                cause = f"{type(why).__name__}: {why}"
+    def watch(self) -> None:
+        """Carry out what is to be done about the watch."""
+        for act in self.watches.acts(self.clock()):
+            if isinstance(act, Dial):
+                act.link.tag = _Discovery(self, act.link)
             else:
-                self.connection = connection
-                self._task(self._answered(connection, old))
-                cause = await self._until_over(connection)
-                old = None
-                if watch.told:
-                    wait = WAIT_FIRST
-            self.log("discovery lost", address=host, cause=cause, seconds=round(time.monotonic() - began, 1))
-            await asyncio.sleep(wait * self.random.uniform(0.5, 1.0))
-            wait = min(2 * wait, WAIT_MOST)
-
-    @staticmethod
-    async def _answered(connection: _Discovery, old: _Discovery | None) -> None:
-        await connection.began
-        if old is not None and connection.watch.answered:
-            old.end("the address changed")
-
-    async def _until_over(self, connection: _Discovery) -> str:
-        while not connection.over.done():
-            left = connection.heard + SILENT - time.monotonic()
-            if left <= 0:
-                connection.end(f"silent for {SILENT:g} s")
-                break
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(asyncio.shield(connection.over), left)
-        return connection.over.result()
+                act.link.tag.end()
+        for event, fields in self.watches.take_events():
+            self.log(event, **fields)
+
+    def unwatched(self, link: Link, cause: str) -> None:
+        """A connection to discovery is over, or did not come up."""
+        self.watches.ended(link, cause, self.clock())
+        self.watch()
 
     def reload(self) -> None:
         """SIGHUP: the file is read anew; a bad one is refused and the old one holds."""
@@ -306,6 +301,6 @@
         self.log("reloaded", discovery="{}:{}".format(*told.discovery))
         self.front.sockets = told.sockets
         self.told = told
-        if told.discovery != self.address:
-            self.watch_at(told.discovery)
+        self.watches.at(told.discovery, self.clock())
+        self.watch()
 
--- a/tests/test_platform_catalog.py
+++ b/tests/test_platform_catalog.py
@@ -7,7 +7,8 @@
 from swiftchute.platform import catalog as module
 from swiftchute.platform.catalog import BadWatch, Catalog, Watch
 
-MS = 1_000_000
+MS, S = 1_000_000, 1_000_000_000
+NOW = 1000 * S
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -68,7 +69,7 @@
         catalog.held(line(41, True, member("a"), member("b")))
         watch = Watch(catalog, "h")
         watch.request()
-        news = [n for piece in (STREAM[:place], STREAM[place:]) for n in watch.received(piece)]
+        news = [n for piece in (STREAM[:place], STREAM[place:]) for n in watch.received(piece, NOW)]
         assert [names(n) for n in news] == [
             [("c", "ready")], [("a", "draining"), ("b", "gone")], [("d", "ready")],
         ]  # fmt: skip
@@ -80,13 +81,14 @@
     for place in range(len(HEAD) + 5, len(STREAM), 7):
         watch = Watch(catalog, "h")
         watch.request()
-        list(watch.received(STREAM[:place]))
+        list(watch.received(STREAM[:place], NOW))
         with pytest.raises(BadWatch):
-            list(watch.received(b""))
+            list(watch.received(b"", NOW))
     assert catalog.revision in (42, 43, 44)
     again = Watch(catalog, "h")
     assert b"after=%d " % catalog.revision in again.request()
-    assert [names(n) for n in again.received(HEAD + chunk(line(50, True, member("x"))))] == [[("x", "ready")]]
+    data = HEAD + chunk(line(50, True, member("x")))
+    assert [names(n) for n in again.received(data, NOW)] == [[("x", "ready")]]
     assert set(catalog.servers) == {"x"}
     assert catalog.revision == 50
 
@@ -101,7 +103,7 @@
     watch = Watch(catalog, "h")
     watch.request()
     with pytest.raises(BadWatch):
-        list(watch.received(answer))
+        list(watch.received(answer, NOW))
     assert set(catalog.servers) == {"a", "b"}
     assert catalog.revision == 41
 
@@ -111,48 +113,95 @@
     watch = Watch(catalog, "h")
     watch.request()
     with pytest.raises(BadWatch, match="more than 100 bytes"):
-        list(watch.received(HEAD + chunk(b"x" * 101)))
+        list(watch.received(HEAD + chunk(b"x" * 101), NOW))
 
 
 def test_changes_that_are_older_than_what_is_known_change_nothing(catalog):
-    assert catalog.line(line(40, False, member("a", "Gone")), False) is None
-    assert catalog.line(line(40, True, member("z")), False) is None
+    assert catalog.line(line(40, False, member("a", "Gone"))) is None
+    assert catalog.line(line(40, True, member("z"))) is None
     assert set(catalog.servers) == {"a", "b"}
     assert catalog.stale == 2
     assert catalog.revision == 41
-    news = catalog.line(line(7, True, member("z")), True)  # discovery that starts over has the last word
+
+
+def watched(catalog, *lines, now=NOW):
+    """A watch that was answered and told these lines, and what it brought."""
+    watch = Watch(catalog, "h")
+    watch.request()
+    return watch, list(watch.received(HEAD + b"".join(chunk(told) for told in lines), now))
+
+
+def test_discovery_that_starts_over_has_the_last_word_once_it_cannot_be_late(catalog):
+    watch, news = watched(catalog, line(7, True, member("z")), line(8, False, member("y")))
+    assert news == []
+    assert set(catalog.servers) == {"a", "b"}
+    assert watch.caught_up(NOW + 6 * S - 1) is None
+    news = watch.caught_up(NOW + 6 * S)
     assert news.scope == "whole"
-    assert catalog.revision == 7
+    assert {n for n, _ in names(news)} == set(catalog.servers) == {"y", "z"}
+    assert catalog.revision == 8
+    assert watch.caught_up(NOW + 7 * S) is None
+    later = list(watch.received(chunk(line(9, False, member("y", "Gone"))), NOW + 7 * S))
+    assert [names(n) for n in later] == [[("y", "gone")]]
+
+
+def test_a_discovery_that_lags_is_believed_in_ends_alone_until_it_has_caught_up(catalog):
+    catalog.line(line(42, False, member("a", "Terminating"), member("c")))
+    catalog.line(line(43, False, member("b", up_since_ms=9000)))
+    # it knows nothing of a's drain, of c, and of b's restart; that d is there it may have to take back
+    watch, news = watched(catalog, line(40, True, member("a"), member("b"), member("d")))
+    assert news == []
+    told = chunk(line(41, False, member("b", "Terminating"), member("c", "Terminating"), member("d", "Gone")))
+    (news,) = watch.received(told, NOW + S)
+    assert names(news) == [("c", "draining")]  # b's drain is of a life that is over
+    assert {s: e[4] for s, e in catalog.servers.items()} == {"a": "draining", "b": "ready", "c": "draining"}
+    assert b"after=43 " in Watch(catalog, "h").request()
+    last = chunk(line(43, False, member("a", "Terminating"), member("b", up_since_ms=9000), member("c")))
+    news = list(watch.received(last, NOW + 2 * S))
+    assert news[-1].scope == "whole"
+    assert dict(names(news[-1])) == {"a": "draining", "b": "ready", "c": "ready"}
+    assert watch.behind is None
+
+
+def test_a_list_that_is_behind_is_bounded_and_never_empty(catalog, monkeypatch):
+    watch, _ = watched(catalog, line(40, True, member("a")))
+    with pytest.raises(BadWatch, match="without a server"):
+        list(watch.received(chunk(line(41, True)), NOW))
+    monkeypatch.setattr(module, "SERVERS_MOST", 2)
+    watch, _ = watched(catalog, line(40, True, member("a")))
+    list(watch.received(chunk(line(40, False, member("x"))), NOW))
+    with pytest.raises(BadWatch, match="more than 2 servers"):
+        list(watch.received(chunk(line(40, False, member("y"))), NOW))
 
 
 def test_a_bad_entry_holds_up_no_other(catalog):
     told = (member("a", "Terminating"), member("b", "Odd"), member("c", locality="moon"),
             member("d", size=-1), {"id": 7}, member("e"))  # fmt: skip
-    news = catalog.line(line(42, False, *told), False)
+    news = catalog.line(line(42, False, *told))
     assert names(news) == [("a", "draining"), ("e", "ready")]
     assert len(news.passed) == 4
-    whole = catalog.line(line(43, True, member("a"), member("e", up_since_ms="x")), False)
+    whole = catalog.line(line(43, True, member("a"), member("e", up_since_ms="x")))
     assert names(whole)[0][0] in ("b", "e")
     assert set(catalog.servers) == {"a", "b", "e"}
 
 
 def test_a_restart_and_a_return_are_told(catalog):
-    catalog.line(line(42, False, member("a", "Gone")), False)
-    news = catalog.line(line(43, False, member("a", up_since_ms=5000)), False)
+    catalog.line(line(42, False, member("a", "Gone")))
+    news = catalog.line(line(43, False, member("a", up_since_ms=5000)))
     assert news.entries[0][4:] == ("ready", 1.5, 5000 * MS)
 
 
 def test_ten_thousand_servers_in_turn_leave_nothing(catalog):
     for k in range(10_000):
-        catalog.line(line(50 + 2 * k, False, member(f"s{k}")), False)
-        catalog.line(line(51 + 2 * k, False, member(f"s{k}", "Gone")), False)
+        catalog.line(line(50 + 2 * k, False, member(f"s{k}")))
+        catalog.line(line(51 + 2 * k, False, member(f"s{k}", "Gone")))
     assert set(catalog.servers) == {"a", "b"}
 
 
 def test_servers_past_the_bound_are_passed_over_and_told(catalog, monkeypatch):
     monkeypatch.setattr(module, "SERVERS_MOST", 3)
-    catalog.line(line(42, False, member("c")), False)
-    news = catalog.line(line(43, False, member("d"), member("a", "Terminating")), False)
+    catalog.line(line(42, False, member("c")))
+    news = catalog.line(line(43, False, member("d"), member("a", "Terminating")))
     assert names(news) == [("a", "draining")]
     assert news.passed == ("'d': more than 3 servers",)
     assert set(catalog.servers) == {"a", "b", "c"}
--- /dev/null
+++ b/tests/test_platform_settings.py
@@ -0,0 +1,176 @@
+"""Configurations drawn from the form of the platform's pages: legal ones serve, illegal ones are named."""
+
+import copy
+import json
+
+import pytest
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+from test_platform_sockets import MEMBERS, wire_settings
+
+from swiftchute.planner.loop import Loop
+from swiftchute.platform import settings as module
+from swiftchute.platform.catalog import Catalog
+from swiftchute.platform.front import Front
+from swiftchute.platform.settings import BadSettings
+from swiftchute.policy import Planner, S
+
+NAMES = st.text(min_size=1, max_size=20)
+TIMES = st.one_of(st.integers(1, 1000), st.integers(10**4, 10**7), st.just(10**13))
+CLASSES = st.fixed_dictionaries({
+    "name": NAMES, "slo_us": TIMES, "deadline_us": TIMES,
+    "credit": st.one_of(st.integers(0, 100), st.floats(0, 1e6)),
+    "semantics": st.sampled_from(["free", "guarded", "single_shot"]),
+}, optional={
+    "late_value": st.one_of(st.none(), st.floats(0, 1)),
+    "group": st.sampled_from([None, "all", "zone", "cell"]),
+    "window_us": st.one_of(st.none(), TIMES), "aim_stretch": st.floats(0, 4),
+})  # fmt: skip
+
+
+@st.composite
+def configurations(draw):
+    """The `settings` of a configuration."""
+    made = wire_settings(draw(st.integers(1, 60)))
+    made["classes"] = draw(st.lists(CLASSES, min_size=1, max_size=5, unique_by=lambda c: c["name"]))
+    made["dcs"] = draw(st.lists(NAMES, min_size=1, max_size=4, unique=True))
+    made["zone"] = draw(st.sampled_from(made["dcs"]))
+    many = st.lists(st.booleans(), max_size=5)
+    made["specifics"] |= {
+        "stays_local": draw(st.one_of(st.none(), many)), "class_writes": draw(st.one_of(st.none(), many)),
+        "admission": draw(st.sampled_from(["fraction", "per_second", "off"])),
+        "base_mode": draw(st.integers(0, 3)), "fails_to_eject": draw(st.integers(0, 9)),
+        "initial_set": draw(st.integers(0, 9)), "per_message": draw(st.integers(0, 20)),
+        "update_cap": draw(st.sampled_from([0, 30])), "line_fee": draw(st.sampled_from([None, 0, 0.04])),
+        "empty_for_us": draw(TIMES),
+    }  # fmt: skip
+    made["rules"] |= {
+        "warm_within_us": draw(st.sampled_from([0, 1, 10**7])), "drain_grace_us": draw(TIMES),
+        "start_capacity": draw(st.floats(0, 1)), "fall_multiple": draw(st.floats(0, 5)),
+    }  # fmt: skip
+    made["prices"] = draw(st.sampled_from([None, {}, {"cross_zone": None}, {"cross_zone": 0.08, "probe": 0}]))
+    return made
+
+
+def configuration(made, servers=2):
+    members = [MEMBERS[0] | {"id": f"s{zone}-{k}", "locality": zone, "up_since_ms": k * 1000_000}
+               for zone in made["dcs"] for k in range(servers)]  # fmt: skip
+    return {
+        "name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "8c1f", "settings": made,
+        "known": {"revision": 1, "complete": True, "members": members},
+    }  # fmt: skip
+
+
+def read(tmp_path_factory, data):
+    path = tmp_path_factory.mktemp("told") / "config.json"
+    path.write_text(json.dumps(data))
+    return path, module.read({"GW_CONFIG": str(path)})
+
+
+@settings(max_examples=60, deadline=None, derandomize=True, database=None, phases=[Phase.generate])
+@given(made=configurations(), servers=st.integers(1, 3), bad=st.floats(0, 1))
+def test_any_legal_settings_serve(tmp_path_factory, made, servers, bad):
+    """Every proxy gets a table of every class, through reports that tell of any share of errors."""
+    _, told = read(tmp_path_factory, configuration(made, servers))
+    now = 1_700_000_000 * S
+    loop = Loop(told.settings, told.seed, Planner, now)
+    front = Front(loop, told.sockets)
+    news = Catalog(told.settings.zones).held(told.known)
+    assert not news.passed
+    front.listed("held", news.entries)
+    names = [c["name"] for c in made["classes"]]
+    mean = min(told.settings.operations[0].objective, told.settings.operations[0].timeout) / 1e6
+    streams, served = [], set()
+
+    def say(stream, **message):
+        stream.received(json.dumps(message).encode() + b"\n", now)
+        assert not stream.out
+
+    for proxy in range(told.settings.proxies):
+        streams.append(front.opened(now))
+        zone = made["dcs"][proxy % len(made["dcs"])]
+        say(streams[-1], msg="hello", proxy=proxy, zone=zone, weight=2.0, fresh=True)
+    agents = [front.opened(now) for _ in made["dcs"]]
+    for agent, zone in zip(agents, made["dcs"], strict=True):
+        say(agent, msg="agent", zone=zone)
+    for turn in range(60):
+        for stream, data in front.turn(now):
+            for order in map(json.loads, data.splitlines()):
+                if order.get("full"):
+                    assert order["endpoints"]
+                    served |= {(stream.proxy, name) for name in order.get("routes", names)}
+                if "nonce_out" in order:
+                    say(stream, msg="ack", proxy=stream.proxy, mark=order["nonce_out"], took_ms=20.0)
+        now += S // 10
+        if turn % 5 == 4:
+            for stream in streams:
+                say(stream, msg="demand", proxy=stream.proxy, span_ms=500.0, tries=9, failed=1,
+                    **{"class": names[0]})  # fmt: skip
+            for agent, zone in zip(agents, made["dcs"], strict=True):
+                for server in loop.list:
+                    say(agent, msg="outcomes", zone=zone, server=server, tries=50, failed=int(50 * bad),
+                        mean_ms=mean, span_ms=500.0)  # fmt: skip
+    assert loop.counts["faults"] == 0, loop.take_events()
+    assert front.counts["spoilt"] == 0
+    assert served == {(p, name) for p in range(told.settings.proxies) for name in names}
+
+
+PLACES = [
+    ("classes", []), ("classes", None), ("classes.0.name", ""), ("classes.0.name", 7),
+    ("classes.0.slo_us", 0), ("classes.0.slo_us", "1s"),
+    ("classes.0.deadline_us", -1), ("classes.0.deadline_us", None),
+    ("classes.0.credit", float("nan")), ("classes.0.credit", float("inf")), ("classes.0.semantics", "twice"),
+    ("classes.0.late_value", -0.5), ("dcs", []), ("dcs", ["east", ""]), ("dcs", "east"), ("zone", None),
+    ("specifics.agents", -1), ("specifics.agents", "many"), ("specifics.agents", True),
+    ("specifics.base_mode", 4), ("specifics.queue_cap", None), ("specifics.per_message", -1),
+    ("specifics.update_cap", float("inf")), ("specifics.stays_local", [1]), ("specifics.initial_set", []),
+    ("rules.warm_within_us", -1), ("rules.drain_grace_us", "3s"), ("rules.fall_multiple", float("nan")),
+    ("rules.start_capacity", {}), ("stats", []), ("permissions.probes", "no"), ("prices.cross_zone", -1),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("place, value", PLACES)
+def test_illegal_settings_are_refused_by_field(tmp_path_factory, place, value):
+    made = copy.deepcopy(wire_settings())
+    made["prices"] = {"cross_zone": 0.05}
+    *way, last = place.split(".")
+    at = made
+    for step in way:
+        at = at[int(step)] if step.isdecimal() else at[step]
+    at[last] = value
+    with pytest.raises(BadSettings) as told:
+        read(tmp_path_factory, configuration(made))
+    assert str(told.value).count("\n") == 0
+    assert f"config.json: settings: {place.replace('.0.', '[...].').split('[')[0]}" in str(told.value)
+    assert last in str(told.value)
+
+
+@pytest.mark.parametrize("section", ["specifics", "rules", "stats", "permissions"])
+def test_a_missing_field_is_named(tmp_path_factory, section):
+    for field in wire_settings()[section]:
+        if field == "fields":
+            continue  # the figures of load reports may be left out
+        made = wire_settings()
+        del made[section][field]
+        with pytest.raises(BadSettings, match=rf"settings: {section}\.{field}: missing$"):
+            read(tmp_path_factory, configuration(made))
+
+
+@pytest.mark.parametrize("change, cause", [
+    ({"seed": float("inf")}, "seed: 'inf' is no number"), ({"listen": "planner:80"}, "listen: 'planner:80'"),
+    ({"listen": "127.0.0.1:" + "9" * 5000}, "listen: "), ({"discovery": "127.0.0.1:0"}, "discovery: "),
+    ({"discovery": "127.0.0.1:٨٠"}, "discovery: "), ({"limits": {"sockets": True}}, "limits.sockets: "),
+    ({"name": "\ud800"}, "not JSON: "), ({"limits": {"sockets": 63}}, "limits.sockets: 63; 64 at least"),
+])  # fmt: skip
+def test_what_cannot_be_used_beside_the_settings_is_named(tmp_path_factory, change, cause):
+    with pytest.raises(BadSettings) as told:
+        read(tmp_path_factory, configuration(wire_settings()) | change)
+    assert f"config.json: {cause}" in str(told.value)
+
+
+def test_names_that_stand_twice_are_refused(tmp_path_factory):
+    for field in ("classes", "dcs"):
+        made = wire_settings()
+        made[field] = [made[field][0]] * 2
+        with pytest.raises(BadSettings, match=f"settings: {field}: a name stands twice"):
+            read(tmp_path_factory, configuration(made))
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -267,7 +267,7 @@
     ({"listen": "nowhere"}, "listen: 'nowhere' is not address:port"),
     ({"discovery": 7}, "discovery: '7' is not of type str"),
     ({"seed": "xyz"}, "seed: 'xyz'"), ({"limits": {"sockets": 3}}, "limits.sockets: 3"),
-    ({"settings": {}}, "settings: specifics: missing"), ({"settings": [1]}, "settings: '[1]'"),
+    ({"settings": {}}, "settings: classes: missing"), ({"settings": [1]}, "settings: '[1]'"),
     ({"known": {"revision": 1}}, "known: not a list"), ({"name": None}, "name: missing"),
 ])  # fmt: skip
 def test_a_bad_configuration_is_named_in_one_line(tmp_path, change, named):
