--- a/swiftchute/platform/__main__.py
+++ b/swiftchute/platform/__main__.py
@@ -25,8 +25,12 @@
     return 0
 
 
-if __name__ == "__main__":
+def run() -> None:
+    """The program: serve, and end the process."""
     code = main()
-    sys.stderr.flush()
-    # The loop was not closed: its handlers stay, so that a second SIGTERM or a late SIGHUP changes nothing.
+    # Python's own end takes the handlers away before it is over: a second SIGTERM there would kill the process.
     os._exit(code)
+
+
+if __name__ == "__main__":
+    run()
--- a/swiftchute/platform/shell.py
+++ b/swiftchute/platform/shell.py
@@ -10,6 +10,7 @@
 import contextlib
 import gc
 import random
+import resource
 import signal
 import time
 from collections.abc import Callable, Mapping
@@ -61,7 +62,8 @@
         self.stream.received(data, self.shell.clock())
         if self.stream.ended is not None:
             self.close()
-        self.flush()
+        else:
+            self.flush()
         self.shell.heard()
 
     def write(self, data: bytes) -> None:
@@ -143,7 +145,7 @@
         self.random = random.Random(told.seed)
         self.catalog = Catalog(told.settings.zones)
         self.loop = Loop(told.settings, told.seed, Planner, self.clock())
-        self.front = Front(self.loop, told.sockets)
+        self.front = Front(self.loop, self.sockets())
         self.clients: set[_Client] = set()
         self.rounds_cpu = 0
         self.watches = Watches(self.catalog, self.random)
@@ -157,6 +159,11 @@
             except BadWatch as why:
                 raise BadSettings(f"{environment.get('GW_CONFIG')}: known: {why}") from None
 
+    def sockets(self) -> int:
+        """Descriptors that this process may hold: the configuration's figure, or the system's lower one."""
+        system, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        return self.told.sockets if system == resource.RLIM_INFINITY else min(self.told.sockets, system)
+
     async def run(self, signals: Early | None = None) -> None:
         """Serve until an order to stop; `signals` are those that came before."""
         self.events = asyncio.get_running_loop()
@@ -223,15 +230,18 @@
         now = self.last = self.clock()
         self.armed = None
         began = time.thread_time_ns()
-        for stream, data in self.front.turn(now):
-            stream.tag.write(data)
+        try:
+            for stream, data in self.front.turn(now):
+                stream.tag.write(data)
+        finally:  # a fault of this program ends no later round
+            if self.sleeping is not None:
+                self.sleeping.cancel()
+            wait = max(self.front.due - self.clock(), ROUND_EVERY) / S
+            self.sleeping = self.events.call_later(wait, self.kick)
         self.rounds_cpu += time.thread_time_ns() - began
         for event, fields in self.loop.take_events():
             self.log(event, **fields)
         self.end_some()
-        if self.sleeping is not None:
-            self.sleeping.cancel()
-        self.sleeping = self.events.call_later(max(self.front.due - self.clock(), ROUND_EVERY) / S, self.kick)
         self.heard()
 
     def tend(self) -> None:
@@ -299,8 +309,8 @@
             if getattr(told, field) != getattr(self.told, field):
                 self.log("not taken", field=field, cause="a new start is needed")
         self.log("reloaded", discovery="{}:{}".format(*told.discovery))
-        self.front.sockets = told.sockets
         self.told = told
+        self.front.sockets = self.sockets()
         self.watches.at(told.discovery, self.clock())
         self.watch()
 
