--- a/swiftchute/platform/__main__.py
+++ b/swiftchute/platform/__main__.py
@@ -28,7 +28,7 @@
 def run() -> None:
     """The program: serve, and end the process."""
     code = main()
-    # Python's own end takes the handlers away before it is over: a second SIGTERM there would kill the process.
+    # Python's own end takes the handlers away before it is over: a second SIGTERM there would kill it.
     os._exit(code)
 
 
