--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -174,3 +174,64 @@
         made[field] = [made[field][0]] * 2
         with pytest.raises(BadSettings, match=f"settings: {field}: a name stands twice"):
             read(tmp_path_factory, configuration(made))
+
+
+class Day:
+    """A planner of these settings whose proxies and reports are the same each time; all that it writes."""
+
+    def __init__(self, made):
+        told = module._told("config.json", configuration(made))
+        self.made, self.now, self.written = made, 1_700_000_000 * S, []
+        self.loop = Loop(told.settings, 7, Planner, self.now)
+        self.front = Front(self.loop, told.sockets)
+        self.front.listed("held", Catalog(told.settings.zones).held(told.known).entries)
+        zones = made["dcs"]
+        self.proxies = [self.open(msg="hello", proxy=p, zone=zones[p % len(zones)], weight=3.0, fresh=True)
+                        for p in range(8)]  # fmt: skip
+        self.agents = [self.open(msg="agent", zone=zone) for zone in zones]
+
+    def open(self, **message):
+        stream = self.front.opened(self.now)
+        return self.say(stream, **message)
+
+    def say(self, stream, **message):
+        stream.received(json.dumps(message).encode() + b"\n", self.now)
+        return stream
+
+    def turn(self, number):
+        self.now += S // 2
+        for stream, data in self.front.turn(self.now):
+            self.written.append((stream.proxy, data))
+            for order in map(json.loads, data.splitlines()):
+                if "nonce_out" in order:
+                    self.say(stream, msg="ack", proxy=stream.proxy, mark=order["nonce_out"], took_ms=20.0)
+        for stream in self.proxies:
+            self.say(stream, msg="demand", proxy=stream.proxy, span_ms=500.0, tries=20, failed=2,
+                     **{"class": self.made["classes"][0]["name"]})  # fmt: skip
+        for agent, zone in zip(self.agents, self.made["dcs"], strict=True):
+            for k, server in enumerate(self.loop.list):
+                self.say(agent, msg="outcomes", zone=zone, server=server, tries=40, failed=(k + number) % 9,
+                         mean_ms=100.0 + 90 * k, span_ms=500.0)  # fmt: skip
+
+
+def test_two_planners_of_other_settings_in_one_process_decide_as_they_do_alone():
+    """Names are the same in both, what they mean is not."""
+    one, other = wire_settings(8), wire_settings(8)
+    other["classes"] = [other["classes"][1] | {"slo_us": 2 * 10**5, "semantics": "single_shot"},
+                        other["classes"][0]]  # fmt: skip
+    other["dcs"] = ["west", "east", "north"]
+    other["specifics"] |= {"initial_set": 1, "stays_local": [True, False], "per_message": 3.0}
+    other["rules"] |= {"warm_within_us": 0}
+    alone = []
+    for made in (one, other):
+        day = Day(made)
+        for number in range(40):
+            day.turn(number)
+        alone.append(day.written)
+    days = [Day(one), Day(other)]
+    for number in range(40):
+        for day in days:
+            day.turn(number)
+    assert [day.written for day in days] == alone
+    assert alone[0] != alone[1]
+    assert all(len(written) > 40 for written in alone)
