Gates of the push job follow the channel's pace as answers show it

The test on a model channel: 800 lines a second of 4,100 are seen as 0.31, the deepest queue later is 1,290 lines and not 4,100; it fails with the factor taken out.

--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -18,6 +18,8 @@
 TABLE_EVERY = 1 * S  # a table is pushed at most this often (drains and shut-outs excepted)
 GATE, DRAIN_GATE = 0.5, 0.9  # the push job sends while the channel holds less than this part; drains go past
 BIND_GATE = 0.7  # binds that tell of drains go past it as well, and leave room to drains in tables
+BUSY = 0.1  # part of the channel that has to be ahead of a message for its answer to tell of the pace
+PACE_LEAST = 0.15  # a channel is not held to be slower than this part of its usual pace
 SPARE_MESSAGES = 0.6  # ordinary pushes use this part of a proxy's message allowance; the rest is for drains
 RAMP_FROM = 0.25  # a new server starts at this part of its weight (the design's quarter)
 SAMPLES, FRESH = 10, 2500 * MS  # reports kept of a server; beyond its span one counts for so long
@@ -50,6 +52,7 @@
 CARRIED = 60  # judgements over which the most that a zone's servers carried is kept
 MOVE_AT = 1.2  # share of load / share of weight past which a group gives up proxies: later one group floods
 GONE = 200  # servers that are gone and are remembered: proxies of other planners may still hold them
+ASKED = 2000  # marks of which it is remembered what was ahead of them
 SEALS = 60_000  # marks are counted up to this and begin anew
 TICK = 100 * MS  # the timer chain's step while something is due
 
@@ -104,6 +107,8 @@
         self.set, self.random = settings, random.Random(seed)
         self.servers, self.proxies, self.slices = {}, {}, {}
         self.unread = 0  # lines written that no proxy has answered for: the channel holds no more than these
+        self.pace, self.fastest = 1.0, 0.0  # the channel's by the usual one, and what answers showed of late
+        self.ahead = {}  # mark -> the lines that were ahead of its messages
         self.judged = self.armed = self.seal = self.judgements = self.listings = 0
         self.pressed = dict.fromkeys(settings.zones)  # what a zone's proxies felt when last judged
         self.retry_at, self.retry_wait = 0 if settings.asks_list else None, S  # when to subscribe
@@ -139,6 +144,10 @@
                 self.form_groups()
                 if judging:
                     self.judged = now
+                    # the fastest answer tells of the channel, others of their proxies; without any it is well
+                    shown, self.fastest = self.fastest or min(2 * self.pace, 1.0), 0.0
+                    self.pace = max((self.pace + shown) / 2, PACE_LEAST)
+                    self.mode("slow channel", self.pace < GATE, f"{self.pace:.2f} of its usual pace")
                     self.judge()
                     self.levels()
                     self.move()
@@ -192,6 +201,10 @@
     def applied(self, proxy, seal, took):
         """A proxy has read the message of this mark and all before it."""
         unread = self.proxies[proxy].unread if proxy in self.proxies else {}
+        ahead = self.ahead.get(seal, 0) if seal in unread else 0
+        if ahead > BUSY * self.set.channel_limit:
+            usual = ahead * S / self.set.channel_pace
+            self.fastest = max(self.fastest, usual / max(took - self.set.way_most, usual))
         while seal in unread:
             self.unread -= unread.pop(next(iter(unread)))
 
@@ -444,11 +457,12 @@
     def book(self, proxies, lines, gate=DRAIN_GATE, spare=1.0):
         """Take room for so many lines to these proxies, if the channel and their allowances have it.
 
-        The channel's pace is never guessed: all that was not answered for counts as still waiting, so a
-        slow channel, a lost answer or a proxy that stands still holds pushes back and breaks no limit."""
+        All that was not answered for counts as still waiting, so a slow channel, a lost answer or a proxy
+        that stands still holds pushes back and breaks no limit. Where answers show a slower pace the gates
+        are of as many lines as leave in the same time: a drain behind half a channel would be late there."""
         head = self.set.message_lines + 1  # and the mark
         cost = {p: lines + (0 if p in self.touched else head) for p in proxies}
-        if self.unread + sum(cost.values()) > gate * self.set.channel_limit:
+        if self.unread + sum(cost.values()) > gate * self.pace * self.set.channel_limit:
             return False
         for p in cost.keys() - self.touched.keys() if self.set.message_limit else ():
             sent = self.proxies[p].messages
@@ -472,6 +486,7 @@
         return sum(self.demand(p) for p in self.proxies.values() if p.zone == zone)
 
     def push(self):
+        ahead = self.unread
         for (zone, group), tables in self.tables.items():
             # the tables of a group go to the same proxies: one message for both
             changed = [t for t in tables if t.first is not None]
@@ -490,6 +505,9 @@
         if self.touched:
             self.seal = self.seal % SEALS + 1
             self.out.mark(self.seal, False)
+            self.ahead[self.seal] = ahead
+            if len(self.ahead) > ASKED:
+                del self.ahead[next(iter(self.ahead))]
         for p, lines in self.touched.items():
             self.proxies[p].messages.append(self.now)
             self.proxies[p].unread[self.seal] = lines
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -485,16 +485,16 @@
         self.room += wait * self.pace
         answers = []
         while self.waits and self.waits[0][2] <= self.room:
-            proxy, seal, lines = self.waits.pop(0)
+            proxy, seal, lines, when = self.waits.pop(0)
             self.room -= lines
-            answers.append(("applied", (proxy, seal, S // 10)))
+            answers.append(("applied", (proxy, seal, self.made.now - when + int(wait * S))))
         self.room = min(self.room, self.pace) if self.waits else 0.0
         out = self.made.turn(*answers, *calls, wait=wait)
         for proxy, state in self.made.planner.proxies.items():
             for seal, lines in state.unread.items():
                 if (proxy, seal) not in self.known:
                     self.known.add((proxy, seal))
-                    self.waits.append((proxy, seal, lines))
+                    self.waits.append((proxy, seal, lines, self.made.now))
         return out
 
 
@@ -537,3 +537,25 @@
     came = sum(made.planner.demand(x) for x in made.planner.proxies.values() if x.group == table.group)
     share = table.want["e9"] / sum(w for n, w in table.want.items() if n != LEVEL)
     assert share * came == pytest.approx(min(made.planner.allowed(server), 0.3 * came), rel=0.3)
+
+
+def test_gates_follow_the_pace_that_answers_show(bench):
+    """Half of a channel, which a drain waits behind, is a second of it only at its usual pace."""
+    deepest, paces = {}, {}
+    for pace in (4100.0, 800.0):
+        made = bench(channel_limit=8200.0, channel_pace=4100.0, message_lines=10.0, message_limit=0)
+        names = [f"e{k}" for k in range(120)]
+        channel, depths = Channel(made, pace), []
+        joins = [("joined", (p, "east", 10.0, False)) for p in range(200)]
+        channel.turn(("listed", ("held", [made.server(name) for name in names])), *joins, wait=0.01)
+        for step in range(400):  # times that swing, so that there is always something to push
+            slow = [3 * ((k // 6 + step // 60) % 2) for k in range(120)]
+            met = [("met", ("east", name, 20, 0, S // 10 * (1 + slow[k]), S // 2, None))
+                   for k, name in enumerate(names)]  # fmt: skip
+            channel.turn(*met if step % 10 == 0 else (), wait=0.05)
+            depths.append(made.planner.unread)
+        deepest[pace], paces[pace] = max(depths[200:]), made.planner.pace
+    assert paces[4100.0] == pytest.approx(1, abs=0.01)
+    assert 0.15 < paces[800.0] < 0.5
+    assert deepest[800.0] < 0.2 * 8200
+    assert "slow channel" in made.planner.modes
