Cold servers stay in a flooded table where they could carry all of it within the rule

Seen on join+mass at size and small: six in ten servers are replaced in 7 s, the zone's cost passes the objective and guard_cold takes all cold lines out; four tenths of the servers get everything, time out, and are still flooded 20 s later, when the others are long warm (2% of invocations in time from 30 s on, 130 of 260 servers used). The test fails without the condition for eight cold servers of twelve; one of five leaves as before.

--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -361,7 +361,8 @@
         may = {n: self.allowed(self.servers[n]) / max(rate, 0.1) for n in cold}
         total, warm = sum(may.values()), sum(w for n, w in lines.items() if n not in may)
         known = len(self.carried[table.zone]) >= LEVEL_LAG  # first news is of the first to join
-        if self.set.avoids_after and warm and (not known or (self.pressed[table.zone] or 0) > FLOOD):
+        flood = (self.pressed[table.zone] or 0) > FLOOD and total < SAFE
+        if self.set.avoids_after and warm and (not known or flood):
             for name in may:  # proxies will soon avoid the failing others: a small line would be everything
                 del lines[name]
             return 1.0
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -559,3 +559,21 @@
     assert 0.15 < paces[800.0] < 0.5
     assert deepest[800.0] < 0.2 * 8200
     assert "slow channel" in made.planner.modes
+
+
+@pytest.mark.parametrize("cold, stay", [(8, True), (1, False)])
+def test_cold_servers_stay_in_a_flooded_table_where_they_could_carry_it_all(bench, cold, stay):
+    """Proxies avoid what fails: the lines left over get everything, which few cold servers cannot carry.
+
+    Seen where six in ten servers were replaced at once: all cold ones left, the others jammed for good."""
+    made = bench()
+    made.start(proxies=("east",) * 4)
+    made.run(6, {f"e{k}": (5, 0, 0.1) for k in range(4)}, arrive=5)
+    names = [f"c{k}" for k in range(cold)]
+    made.turn(("listed", ("changes", [made.server(name, age=8) for name in names])))
+    made.planner.pressed["east"] = 2.0
+    table = made.table()
+    lines = dict.fromkeys(["e0", "e1", "e2", "e3", *names], 1.0)
+    made.planner.guard_cold(table, lines)
+    assert (set(names) <= lines.keys()) == stay
+    assert not stay or all(0 < lines[name] <= 1.0 for name in names)
