--- a/swiftchute/platform/__main__.py
+++ b/swiftchute/platform/__main__.py
@@ -3,12 +3,12 @@
 import os
 import sys
 
-from swiftchute.platform.early import Early
+from swiftchute.platform.signals import StartupSignals
 
 
 def main() -> int:
     """Serve until SIGTERM; 2 where the configuration cannot be used."""
-    signals = Early()
+    signals = StartupSignals()
     import uvloop  # these take most of the start: a signal may come meanwhile
 
     from swiftchute.platform import settings
--- a/swiftchute/platform/settings.py
+++ b/swiftchute/platform/settings.py
@@ -91,7 +91,7 @@
     probe: Amount | None = None
 
 
-class _Form(msgspec.Struct):
+class _Schema(msgspec.Struct):
     """The settings as the platform gives them; fields that this program does not use are not looked at."""
 
     classes: Annotated[list[_Class], msgspec.Meta(min_length=1, max_length=64)]
@@ -197,7 +197,7 @@
 def _settings(path: str, data: dict[str, Any]) -> Settings:
     data = data | {"prices": data.get("prices") or {}}
     try:
-        form = msgspec.convert(data, _Form)
+        form = msgspec.convert(data, _Schema)
     except msgspec.ValidationError as why:
         cause, _, at = str(why).partition(" - at `$.")
         at = at.rstrip("`")
--- a/swiftchute/platform/shell.py
+++ b/swiftchute/platform/shell.py
@@ -19,9 +19,9 @@
 from swiftchute.planner.loop import Loop
 from swiftchute.platform import settings as reader
 from swiftchute.platform.catalog import BadWatch, Catalog
-from swiftchute.platform.early import Early
 from swiftchute.platform.front import OUT_MOST, Front
 from swiftchute.platform.settings import BadSettings, Told
+from swiftchute.platform.signals import StartupSignals
 from swiftchute.platform.watches import Dial, Link, Watches
 from swiftchute.policy import Planner
 
@@ -164,7 +164,7 @@
         system, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         return self.told.sockets if system == resource.RLIM_INFINITY else min(self.told.sockets, system)
 
-    async def run(self, signals: Early | None = None) -> None:
+    async def run(self, signals: StartupSignals | None = None) -> None:
         """Serve until an order to stop; `signals` are those that came before."""
         self.events = asyncio.get_running_loop()
         stop = asyncio.Event()
--- a/swiftchute/platform/early.py
+++ b/swiftchute/platform/signals.py
@@ -1,6 +1,6 @@
 """Signals that come before the event loop takes them.
 
-    signals = Early()       # the first line of the program, before its imports
+    signals = StartupSignals()       # the first line of the program, before its imports
     signals.reload          # whether SIGHUP has come since
 
 Until the loop has handlers of its own, SIGTERM and SIGINT end the process in order, as nothing is open yet,
@@ -12,7 +12,7 @@
 from typing import Any
 
 
-class Early:
+class StartupSignals:
     """Handlers for the time of the start."""
 
     def __init__(self) -> None:
