--- a/swiftchute/platform/settings.py
+++ b/swiftchute/platform/settings.py
@@ -79,7 +79,7 @@
     late_most_us: Amount
     per_try: Amount | None
     reports_per_s: Amount | None
-    egress_per_s: Amount | None
+    egress_per_s: Divides
     single_writer: bool | None
     line_fee: Amount | None = None
     stays_local: list[bool | None] | None = None
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -41,7 +41,8 @@
         "admission": draw(st.sampled_from(["fraction", "per_second", "off"])),
         "base_mode": draw(st.integers(0, 3)), "fails_to_eject": draw(st.integers(0, 9)),
         "initial_set": draw(st.integers(0, 9)), "per_message": draw(st.integers(0, 20)),
-        "update_cap": draw(st.sampled_from([0, 30])), "line_fee": draw(st.sampled_from([None, 0, 0.04])),
+        "update_cap": draw(st.sampled_from([0, 30])), "egress_per_s": draw(st.sampled_from([1, 50.5, 5000])),
+        "line_fee": draw(st.sampled_from([None, 0, 0.04])),
         "empty_for_us": draw(TIMES),
     }  # fmt: skip
     made["rules"] |= {
@@ -123,6 +124,7 @@
     ("classes.0.late_value", -0.5), ("dcs", []), ("dcs", ["east", ""]), ("dcs", "east"), ("zone", None),
     ("specifics.agents", -1), ("specifics.agents", "many"), ("specifics.agents", True),
     ("specifics.base_mode", 4), ("specifics.queue_cap", None), ("specifics.per_message", -1),
+    ("specifics.egress_per_s", 0), ("specifics.egress_per_s", None),
     ("specifics.update_cap", float("inf")), ("specifics.stays_local", [1]), ("specifics.initial_set", []),
     ("rules.warm_within_us", -1), ("rules.drain_grace_us", "3s"), ("rules.fall_multiple", float("nan")),
     ("rules.start_capacity", {}), ("stats", []), ("permissions.probes", "no"), ("prices.cross_zone", -1),
