A withdrawal without room holds up no letting back; first messages are 8 KiB at most

Reread of the change: shut_out ended its round at the first withdrawal that did not fit, which would hold up servers that are to be let back behind it; now only further withdrawals wait. With descriptors as the only bound of connections that wait to join, 64 KiB each of an endless first message could pass a small memory limit (256 descriptors and 32 MB); 8 KiB is some thirty times the longest first message.

--- a/swiftchute/platform/stream.py
+++ b/swiftchute/platform/stream.py
@@ -19,7 +19,7 @@
     from swiftchute.platform.front import Front
 
 MS = 1_000_000
-FIRST_MOST = 1 << 16  # bytes of a message before joining
+FIRST_MOST = 1 << 13  # bytes of a message before joining: as many connections as descriptors may hold them
 MARKS_MOST = 256  # marks that a proxy may owe; past it the oldest counts as lost
 
 
--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -551,20 +551,21 @@
 
     def shut_out(self):
         """Tables carry the drains to bound proxies; others may hold lines that nobody here knows of."""
-        waiting = any(proxy.group is None for proxy in self.proxies.values())
+        tells = any(proxy.group is None for proxy in self.proxies.values())
         for name, server in self.servers.items():
             out = server.state != "ready"
-            if out == (name in self.shut) or (out and not waiting):
+            if out == (name in self.shut) or (out and not tells):
                 continue
             # others get no message: lines booked for them would never be answered for, and hold pushes back
             holds = {k for k, tables in self.tables.items() if any(name in t.sent for t in tables)}
             told = [p for p, x in self.proxies.items() if x.group is None or (x.zone, x.group) in holds]
             # No further than binds, which come first: one tells of all drains, and a channel that withdrawals
             # keep full holds it back for good.
-            if not self.book(told, 1, BIND_GATE):
-                break
-            self.out.withdraw(name, out)
-            (self.shut.add if out else self.shut.remove)(name)
+            if self.book(told, 1, BIND_GATE):
+                self.out.withdraw(name, out)
+                (self.shut.add if out else self.shut.remove)(name)
+            else:
+                tells = False  # this round: those that wait are the same for each
 
     def forget(self):
         """Past the bound the servers first listed among those gone are forgotten, if no table names them."""
