The channel's pace is judged by all lines of a mark's round, and a batch may pass the slow gate

Checked: rounds there carry thousands of lines to hundreds of proxies, and only what was unread before the round counted as ahead of its last message, so that a second in which only the round's late answers came looked slow. Now all lines of the round count (an early answer then shows the usual pace, never less).

--- a/swiftchute/policy.py
+++ b/swiftchute/policy.py
@@ -108,7 +108,7 @@
         self.servers, self.proxies, self.slices = {}, {}, {}
         self.unread = 0  # lines written that no proxy has answered for: the channel holds no more than these
         self.pace, self.fastest = 1.0, 0.0  # the channel's by the usual one, and what answers showed of late
-        self.ahead = {}  # mark -> the lines that were ahead of its messages
+        self.ahead = {}  # mark -> the lines ahead of the last of its messages
         self.judged = self.armed = self.seal = self.judgements = self.listings = 0
         self.pressed = dict.fromkeys(settings.zones)  # what a zone's proxies felt when last judged
         self.retry_at, self.retry_wait = 0 if settings.asks_list else None, S  # when to subscribe
@@ -459,11 +459,12 @@
         """Take room for so many lines to these proxies, if the channel and their allowances have it.
 
         All that was not answered for counts as still waiting, so a slow channel, a lost answer or a proxy
-        that stands still holds pushes back and breaks no limit. Where answers show a slower pace the gates
-        are of as many lines as leave in the same time: a drain behind half a channel would be late there."""
+        that stands still holds pushes back and breaks no limit. Where answers show a slower pace what waits
+        may be no more than leaves in the same time, as a drain behind half a channel would be late there."""
         head = self.set.message_lines + 1  # and the mark
         cost = {p: lines + (0 if p in self.touched else head) for p in proxies}
-        if self.unread + sum(cost.values()) > gate * self.pace * self.set.channel_limit:
+        most = gate * self.set.channel_limit
+        if self.unread + sum(cost.values()) > most or self.unread > self.pace * most:
             return False
         for p in cost.keys() - self.touched.keys() if self.set.message_limit else ():
             sent = self.proxies[p].messages
@@ -487,7 +488,6 @@
         return sum(self.demand(p) for p in self.proxies.values() if p.zone == zone)
 
     def push(self):
-        ahead = self.unread
         for (zone, group), tables in self.tables.items():
             # the tables of a group go to the same proxies: one message for both
             changed = [t for t in tables if t.first is not None]
@@ -506,7 +506,7 @@
         if self.touched:
             self.seal = self.seal % SEALS + 1
             self.out.mark(self.seal, False)
-            self.ahead[self.seal] = ahead
+            self.ahead[self.seal] = self.unread
             if len(self.ahead) > ASKED:
                 del self.ahead[next(iter(self.ahead))]
         for p, lines in self.touched.items():
