--- a/swiftchute/platform/catalog.py
+++ b/swiftchute/platform/catalog.py
@@ -176,7 +176,6 @@
             for server, entry in found.items()
             if entry[4] != "ready" and server in self.servers and entry[6] >= self.servers[server][6]
             and entry[4] != self.servers[server][4]
-            and not (entry[4] == "draining" and self.servers[server][4] == "gone")
         }  # fmt: skip
         return self._changes(ends, passed)
 
