Reread: clients cut off at their last words are counted, a watch's first line is read once

The bound on last words acted without being told: it counts as out_bytes now, by the one way in which a client that reads nothing is let go. Catalog.begin_behind read the first line of an ordinary watch twice, a whole list at each dial.

--- a/swiftchute/platform/catalog.py
+++ b/swiftchute/platform/catalog.py
@@ -94,7 +94,9 @@
 
     def line(self, text: bytes) -> News | None:
         """One line of a watch that is not behind. Raises `BadWatch`."""
-        given, found, passed = self.read(text)
+        return self._line(*self.read(text))
+
+    def _line(self, given: _List, found: dict[str, Entry], passed: list[str]) -> News | None:
         if self.older(given.revision):
             self.stale += 1  # late: what is known is newer
             return None
@@ -153,7 +155,7 @@
         """The first line of a watch: what it holds if it is behind, and the news in it. Raises `BadWatch`."""
         given, found, passed = self.read(text)
         if not (given.complete and self.older(given.revision)):
-            return None, self.line(text)
+            return None, self._line(given, found, passed)
         self.stale += 1
         return Behind(now, given.revision, self._kept(found, passed)), self._ends(found, passed)
 
--- a/swiftchute/platform/shell.py
+++ b/swiftchute/platform/shell.py
@@ -71,6 +71,11 @@
             return
         self.transport.write(data)
         if self.transport.get_write_buffer_size() > OUT_MOST:
+            self.cut_off()
+
+    def cut_off(self) -> None:
+        """It reads nothing: what waits for it is lost."""
+        if self in self.shell.clients:
             self.shell.front.counts["out_bytes"] += 1
             self.transport.abort()
 
@@ -86,7 +91,7 @@
             self.flush()
             self.transport.close()
             if self.transport.get_write_buffer_size():
-                self.shell.events.call_later(CLOSE_WITHIN, self.transport.abort)
+                self.shell.events.call_later(CLOSE_WITHIN, self.cut_off)
 
     def connection_lost(self, why: Exception | None) -> None:
         if self not in self.shell.clients:
@@ -200,7 +205,7 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self.stopped.wait(), STOP_WITHIN)
         for client in list(self.clients):
-            client.transport.abort()
+            client.cut_off()
 
     def all_ended(self) -> None:
         """Stopping waits for this."""
--- a/swiftchute/platform/writer.py
+++ b/swiftchute/platform/writer.py
@@ -112,7 +112,8 @@
             if len(self.gone) > GONE_MOST:
                 forgotten = next(iter(self.gone))
                 del self.gone[forgotten]
-                self.unready.discard(forgotten)
+                if forgotten not in self.started:  # it may be back, and draining
+                    self.unready.discard(forgotten)
 
     # -- contents
 
--- a/tests/test_platform_crossings.py
+++ b/tests/test_platform_crossings.py
@@ -305,6 +305,7 @@
         async with asyncio.timeout(WAIT):
             while stuck in world.shell.clients:
                 await asyncio.sleep(0)
+        assert world.shell.front.counts["out_bytes"] == 1
         plain.close()
 
     play(day, members=LONG, settings=WIDE)
