The platform logs what it wrote and what may still wait in its channel

EgressLedger counts what was written by session, over policies and ends of sessions; the statistics line says what is in flight, what ended sessions left behind, the largest sum, the limit, and commanded beside written entries; 'proxy disconnected' says which side ended the session and what it had not acknowledged. Nothing is decided by it yet.

--- /dev/null
+++ b/swiftchute/platform/egress_ledger.py
@@ -0,0 +1,158 @@
+"""What was written to proxies and may still wait in the channel. No I/O; the time comes in with each call.
+
+The ledger outlives policies and sessions. It counts what was written, not what a policy reserved, in entries:
+a message costs its overhead and its entries. A message is settled once its proxy acknowledges it or a later
+one. What a session that ended had not acknowledged stays counted until a message that was written after it is
+acknowledged, as messages leave the channel in the order in which they were written, or until the slowest
+channel would have sent it.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+
+import msgspec
+
+from swiftchute.api.settings import Settings
+from swiftchute.platform.proxy_session import EndedBy, ProxySession
+from swiftchute.policy.egress_budget import MIN_CHANNEL_SPEED_RATIO
+
+NS_PER_S = 1_000_000_000
+
+
+class WrittenMessage(msgspec.Struct, frozen=True, gc=False):
+    """A message that its proxy has not acknowledged."""
+
+    nonce: int | None
+    round_number: int
+    entries: int  # with the overhead of a message
+
+
+class UnsettledEntries(msgspec.Struct):
+    """Entries of one round to sessions that have ended since."""
+
+    ended_by_proxy: int = 0
+    ended_here: int = 0
+    expires_at_ns: int = 0
+
+
+class EgressLedger:
+    """Entries on their way to proxies.
+
+    Attributes:
+        in_flight_entries: Written on open sessions and not acknowledged.
+        ended_here_entries: Not settled, on sessions that this process ended.
+        ended_by_proxy_entries: Not settled, on sessions that ended from the proxy's side.
+        max_total_entries: The largest sum of these three since the start.
+        commanded_entries: What the policy commanded since the start, without overheads.
+        written_entries: What was written since the start, without overheads.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        """Start with an empty channel."""
+        self._overhead_entries = int(settings.message_overhead_entries)
+        self._limit_entries = int(settings.egress_queue_limit_entries)
+        slowest_rate_per_s = MIN_CHANNEL_SPEED_RATIO * settings.egress_rate_entries_per_s
+        self._max_wait_ns = int(settings.egress_queue_limit_entries / slowest_rate_per_s * NS_PER_S)
+        self._round_number = 0
+        self._round_started_ns = 0
+        self._messages: dict[ProxySession, deque[WrittenMessage]] = {}
+        self._unsettled_by_round: dict[int, UnsettledEntries] = {}
+        self.in_flight_entries = 0
+        self.ended_here_entries = 0
+        self.ended_by_proxy_entries = 0
+        self.max_total_entries = 0
+        self.commanded_entries = 0
+        self.written_entries = 0
+
+    @property
+    def total_entries(self) -> int:
+        """Entries that may wait in the channel."""
+        return self.in_flight_entries + self.ended_here_entries + self.ended_by_proxy_entries
+
+    @property
+    def undelivered_entries(self) -> int:
+        """Entries that the channel has to send: those to sessions that the proxy ended are dropped there."""
+        return self.in_flight_entries + self.ended_here_entries
+
+    @property
+    def figures(self) -> dict[str, int]:
+        """What is counted, by the names of the log's fields."""
+        return {
+            "in_flight": self.in_flight_entries,
+            "ended_here": self.ended_here_entries,
+            "ended_by_proxy": self.ended_by_proxy_entries,
+            "max_in_channel": self.max_total_entries,
+            "channel_limit": self._limit_entries,
+            "commanded": self.commanded_entries,
+            "written": self.written_entries,
+        }
+
+    def begin_round(self, now_ns: int) -> None:
+        """Start a round: what is written from now on is later than all before."""
+        self._round_number += 1
+        self._round_started_ns = now_ns
+        expired = [
+            number for number, entries in self._unsettled_by_round.items() if now_ns >= entries.expires_at_ns
+        ]
+        for number in expired:
+            self._settle_round(number)
+
+    def record_commands(self, entries: Iterable[int]) -> None:
+        """Note the entries to each proxy that the policy commanded in a round."""
+        self.commanded_entries += sum(entries)
+
+    def record_message(self, session: ProxySession, nonce: int | None, entries: int) -> None:
+        """Note a message that is written.
+
+        Args:
+            session: Where it is written.
+            nonce: Number that the proxy is to acknowledge, if any.
+            entries: Its entries, without the overhead.
+        """
+        self.written_entries += entries
+        cost = entries + self._overhead_entries
+        message = WrittenMessage(nonce, self._round_number, cost)
+        self._messages.setdefault(session, deque()).append(message)
+        self.in_flight_entries += cost
+        self.max_total_entries = max(self.max_total_entries, self.total_entries)
+
+    def acknowledge(self, session: ProxySession, nonce: int) -> None:
+        """Settle the message of a nonce that the session owed, and all that left the channel before it."""
+        messages = self._messages.get(session)
+        while messages:
+            message = messages.popleft()
+            self.in_flight_entries -= message.entries
+            if message.nonce == nonce:
+                self._settle_before(message.round_number)
+                return
+
+    def end_session(self, session: ProxySession) -> int:
+        """Handle the end of a session; return the entries that it had not acknowledged."""
+        messages = self._messages.pop(session, ())
+        for message in messages:
+            self._keep_unsettled(message, session.ended_by)
+        return sum(message.entries for message in messages)
+
+    def _keep_unsettled(self, message: WrittenMessage, ended_by: EndedBy) -> None:
+        unsettled = self._unsettled_by_round.setdefault(message.round_number, UnsettledEntries())
+        unsettled.expires_at_ns = self._round_started_ns + self._max_wait_ns
+        self.in_flight_entries -= message.entries
+        if ended_by is EndedBy.THIS_PROCESS:
+            unsettled.ended_here += message.entries
+            self.ended_here_entries += message.entries
+        else:
+            unsettled.ended_by_proxy += message.entries
+            self.ended_by_proxy_entries += message.entries
+
+    def _settle_before(self, round_number: int) -> None:
+        """Settle the ended sessions' messages of earlier rounds.
+
+        Those of the same round stay: the order in which the channel took them is not known.
+        """
+        for number in [number for number in self._unsettled_by_round if number < round_number]:
+            self._settle_round(number)
+
+    def _settle_round(self, number: int) -> None:
+        unsettled = self._unsettled_by_round.pop(number)
+        self.ended_here_entries -= unsettled.ended_here
+        self.ended_by_proxy_entries -= unsettled.ended_by_proxy
--- a/swiftchute/platform/push_delivery.py
+++ b/swiftchute/platform/push_delivery.py
@@ -9,6 +9,7 @@
 
 from swiftchute.controller.assignments import RoundResult
 from swiftchute.controller.policy_runner import PolicyRunner
+from swiftchute.platform.egress_ledger import EgressLedger
 from swiftchute.platform.errors import MessageTooLargeError
 from swiftchute.platform.proxy_session import ProxySession
 from swiftchute.platform.push_encoder import PushEncoder
@@ -29,6 +30,7 @@
         encoder: PushEncoder,
         sessions: dict[int, ProxySession],
         statistics: SessionStatistics,
+        ledger: EgressLedger,
     ) -> None:
         """Start with nothing deferred.
 
@@ -37,11 +39,13 @@
             encoder: Encodes the messages.
             sessions: The sessions by proxy; belongs to the session manager.
             statistics: Counters to keep.
+            ledger: Takes what is written.
         """
         self._runner = runner
         self._encoder = encoder
         self._sessions = sessions
         self._statistics = statistics
+        self._ledger = ledger
         self._ejected: set[str] = set()  # endpoints ejected when proxies were last written to
         self.deferred_nonces: dict[int, int | None] = {}  # by proxy that could not be written to, the latest
 
@@ -61,6 +65,7 @@
             newly_ejected = ejected - self._ejected
             self._ejected = set(ejected)
         nonce = round_result.nonce
+        self._ledger.record_commands(round_result.entries_by_proxy.values())
         for proxy in round_result.entries_by_proxy:
             session = self._sessions.get(proxy)
             if session is None:
@@ -100,6 +105,7 @@
             return b""
         if message.data:
             self._statistics.nonces_lost += session.record_push(len(message.data), nonce, now_ns)
+            self._ledger.record_message(session, nonce, message.entry_count)
             self._statistics.messages += 1
             self._statistics.entries += message.entry_count
             self._statistics.bytes += len(message.data)
--- a/swiftchute/platform/server.py
+++ b/swiftchute/platform/server.py
@@ -209,6 +209,7 @@
             proxies=len(self.sessions.sessions_by_proxy),
             pending=len(self.sessions.pending_sessions),
             deferred=len(self.sessions.deferred_proxies),
+            **self.sessions.ledger.figures,
             endpoints=len(self.runner.endpoint_records),
             reportable=len(self.sessions.reportable_endpoints),
             stale_lines=self.endpoint_list.stale_lines,
--- a/swiftchute/platform/session_manager.py
+++ b/swiftchute/platform/session_manager.py
@@ -12,9 +12,10 @@
 from swiftchute.api.events import PushAcknowledged
 from swiftchute.controller.policy_runner import PolicyRunner
 from swiftchute.platform import load_reports, wire_messages
+from swiftchute.platform.egress_ledger import EgressLedger
 from swiftchute.platform.errors import MalformedMessageError
 from swiftchute.platform.load_reports import ReportReader
-from swiftchute.platform.proxy_session import AckResult, ProxySession
+from swiftchute.platform.proxy_session import AckResult, EndedBy, ProxySession
 from swiftchute.platform.push_delivery import Delivery, PushDelivery
 from swiftchute.platform.push_encoder import PushEncoder
 from swiftchute.platform.statistics import SessionStatistics
@@ -50,7 +51,10 @@
         self.encoder = PushEncoder(runner.settings, runner.assignments)
         self._proxy_count = runner.settings.proxy_count
         self._reports = ReportReader(runner.settings)
-        self._delivery = PushDelivery(runner, self.encoder, self.sessions_by_proxy, self.statistics)
+        self.ledger = EgressLedger(runner.settings)
+        self._delivery = PushDelivery(
+            runner, self.encoder, self.sessions_by_proxy, self.statistics, self.ledger
+        )
         self._handlers: dict[type, Callable[[ProxySession, Any, int], None]] = {
             wire_messages.ProxyHello: self._on_proxy_hello,
             wire_messages.CollectorHello: self._on_collector_hello,
@@ -94,12 +98,15 @@
             self._disconnect_proxy(session.proxy, cause)
 
     def _disconnect_proxy(self, proxy: int, cause: str) -> None:
-        del self.sessions_by_proxy[proxy]
+        session = self.sessions_by_proxy.pop(proxy)
+        entries = self.ledger.end_session(session)
         self._delivery.remove_proxy(proxy)
         self.encoder.remove_proxy(proxy)
         self.runner.on_proxy_disconnected(proxy)
         self.statistics.disconnected += 1
-        self.runner.log_event("proxy disconnected", proxy=proxy, cause=cause)
+        self.runner.log_event(
+            "proxy disconnected", proxy=proxy, cause=cause, by=session.ended_by.value, unacknowledged=entries
+        )
 
     def check_timeouts(self, now_ns: int) -> None:
         """Close sessions whose clients say nothing for too long.
@@ -113,7 +120,7 @@
                 continue
             if now_ns - max(sent_at_ns, session.last_received_ns) > IDLE_TIMEOUT_NS:
                 self.statistics.idle_timeout += 1
-                session.end("nothing heard", notify=False)
+                session.end("nothing heard", notify=False, ended_by=EndedBy.THIS_PROCESS)
                 self.sessions_to_close.append(session)
                 self._disconnect_proxy(proxy, "silent")
 
@@ -192,6 +199,7 @@
         if result is AckResult.UNKNOWN_NONCE:
             raise MalformedMessageError(f"mark {message.nonce} was not asked for")
         self.statistics.acks += 1
+        self.ledger.acknowledge(session, message.nonce)
         if result is AckResult.CURRENT_POLICY:
             self.runner.enqueue(PushAcknowledged(message.proxy, message.nonce, latency_ns))
 
@@ -249,6 +257,7 @@
 
     def run_round(self, now_ns: int) -> Iterator[Delivery]:
         """Run the policy if an event arrived, and yield what is to be written now, message by message."""
+        self.ledger.begin_round(now_ns)
         result = self.runner.run_round(now_ns)
         if self.runner.assignments is not self.encoder.assignments:  # those of a new policy, after a crash
             self._on_policy_restart()
