What waits for ended streams counts against the egress queue limit

Cause: the policy gave back what a proxy had not acknowledged as soon as its stream ended (Reconciler._disconnect, EgressBudget.release). The channel keeps it and sends it in its turn, so the refill of a whole fleet came on top. A crash of the policy forgot the whole account in the same way.

Fix: EgressLedger, which belongs to the session manager and so outlives streams and policies, is the account of what was written. Each round ends its events with EgressQueueObserved; what the channel holds beyond the policy's own account stands against QUEUE_THRESHOLD, 0.95 of the limit, beside the thresholds by kind of message, which keep their meaning. Which side ended the stream does not matter, so the ledger no longer asks. The speed of the channel is measured by all that was ahead.

--- a/swiftchute/api/events.py
+++ b/swiftchute/api/events.py
@@ -70,6 +70,12 @@
     latency_ns: int  # from the command to the acknowledgement
 
 
+class EgressQueueObserved(Event, frozen=True):
+    """What may wait in the channel to the proxies at the start of a round, whoever wrote it and to whom."""
+
+    entries: int  # with the overhead of each message
+
+
 class TimerFired(Event, frozen=True):
     """A timer that the policy started is due."""
 
--- a/swiftchute/controller/policy_runner.py
+++ b/swiftchute/controller/policy_runner.py
@@ -19,7 +19,14 @@
 
 from swiftchute.api.commands import Policy
 from swiftchute.api.endpoints import EndpointRecord, EndpointState, ListScope
-from swiftchute.api.events import EndpointListUpdate, Event, ProxyConnected, ProxyDisconnected, TimerFired
+from swiftchute.api.events import (
+    EgressQueueObserved,
+    EndpointListUpdate,
+    Event,
+    ProxyConnected,
+    ProxyDisconnected,
+    TimerFired,
+)
 from swiftchute.api.settings import Settings
 from swiftchute.controller.assignments import Assignments, RoundResult
 from swiftchute.controller.log_events import EventLog, LogEvent
@@ -94,6 +101,7 @@
         self.timers: list[PendingTimer] = []
         self.crash_times: deque[int] = deque(maxlen=MAX_CRASHES_IN_WINDOW)
         self.restart_at_ns: int | None = None  # after a crash, until the policy is started again
+        self.queued_entries = 0  # in the channel, by a frontend that counts what it writes
         self.last_round_ns = now
         self.counters = RunnerCounters()
         self.event_log = EventLog()
@@ -184,6 +192,8 @@
         """Hand the pending events to the policy; return what it commanded, or None if it crashed."""
         assert self.policy is not None
         events, self.pending_events = self.pending_events, []
+        if self.queued_entries:  # the last event, as it is compared with what the policy counts by then
+            events.append(EgressQueueObserved(self.queued_entries))
         self.counters.rounds += 1
         try:
             self.policy.reconcile(now, events, self.assignments)
--- a/swiftchute/platform/proxy_session.py
+++ b/swiftchute/platform/proxy_session.py
@@ -40,13 +40,6 @@
     sent_at_ns: int
 
 
-class EndedBy(Enum):
-    """Which side ended a session."""
-
-    PROXY = "proxy"  # the channel drops what waits for it, unless this process caused the end
-    THIS_PROCESS = "this process"  # what waits for it stays in the channel
-
-
 class AckResult(Enum):
     """What an acknowledgement answers."""
 
@@ -61,7 +54,7 @@
     __slots__ = (
         "handler", "opened_at_ns", "last_received_ns", "unparsed", "outgoing", "end_cause", "proxy",
         "collector_zone", "pending_nonces", "previous_policy_nonces", "bytes_written", "bytes_acknowledged",
-        "last_push_ns", "join_overdue", "transport", "ended_by",
+        "last_push_ns", "join_overdue", "transport",
     )  # fmt: skip
 
     def __init__(self, handler: MessageHandler, now_ns: int) -> None:
@@ -77,7 +70,6 @@
         self.unparsed = bytearray()
         self.outgoing: list[bytes] = []
         self.end_cause: str | None = None
-        self.ended_by = EndedBy.PROXY
         self.proxy: int | None = None
         self.collector_zone: str | None = None
         self.pending_nonces: deque[PendingNonce] = deque()
@@ -146,17 +138,15 @@
         except UnreadableMessageError as error:
             self.end(f"unreadable: {error}" if line.strip() else "an empty line")
 
-    def end(self, cause: str, notify: bool = True, ended_by: EndedBy = EndedBy.PROXY) -> None:
+    def end(self, cause: str, notify: bool = True) -> None:
         """Ignore what follows; the server closes the connection.
 
         Args:
             cause: Why, for the client and the log.
             notify: Whether the client is sent the cause; a collector never is.
-            ended_by: `THIS_PROCESS` where the client's connection may still work; a client that sends what
-                cannot be read has ended it.
         """
         if self.end_cause is None:
-            self.end_cause, self.ended_by = cause, ended_by
+            self.end_cause = cause
             if notify and self.collector_zone is None:
                 self.outgoing.append(wire_messages.encode_error(cause))
 
--- a/swiftchute/platform/session_manager.py
+++ b/swiftchute/platform/session_manager.py
@@ -15,7 +15,7 @@
 from swiftchute.platform.egress_ledger import EgressLedger
 from swiftchute.platform.errors import MalformedMessageError
 from swiftchute.platform.load_reports import ReportReader
-from swiftchute.platform.proxy_session import AckResult, EndedBy, ProxySession
+from swiftchute.platform.proxy_session import AckResult, ProxySession
 from swiftchute.platform.push_delivery import Delivery, PushDelivery
 from swiftchute.platform.push_encoder import PushEncoder
 from swiftchute.platform.statistics import SessionStatistics
@@ -104,9 +104,7 @@
         self.encoder.remove_proxy(proxy)
         self.runner.on_proxy_disconnected(proxy)
         self.statistics.disconnected += 1
-        self.runner.log_event(
-            "proxy disconnected", proxy=proxy, cause=cause, by=session.ended_by.value, unacknowledged=entries
-        )
+        self.runner.log_event("proxy disconnected", proxy=proxy, cause=cause, unacknowledged=entries)
 
     def check_timeouts(self, now_ns: int) -> None:
         """Close sessions whose clients say nothing for too long.
@@ -120,7 +118,7 @@
                 continue
             if now_ns - max(sent_at_ns, session.last_received_ns) > IDLE_TIMEOUT_NS:
                 self.statistics.idle_timeout += 1
-                session.end("nothing heard", notify=False, ended_by=EndedBy.THIS_PROCESS)
+                session.end("nothing heard", notify=False)
                 self.sessions_to_close.append(session)
                 self._disconnect_proxy(proxy, "silent")
 
@@ -258,6 +256,7 @@
     def run_round(self, now_ns: int) -> Iterator[Delivery]:
         """Run the policy if an event arrived, and yield what is to be written now, message by message."""
         self.ledger.begin_round(now_ns)
+        self.runner.queued_entries = self.ledger.total_entries
         result = self.runner.run_round(now_ns)
         if self.runner.assignments is not self.encoder.assignments:  # those of a new policy, after a crash
             self._on_policy_restart()
--- a/swiftchute/platform/transports.py
+++ b/swiftchute/platform/transports.py
@@ -11,7 +11,6 @@
 from swiftchute.platform.connection_limits import CLOSE_TIMEOUT_S, MAX_UNSENT_BYTES
 from swiftchute.platform.discovery_client import DiscoveryClient, DiscoveryConnection
 from swiftchute.platform.endpoint_list import ListUpdate
-from swiftchute.platform.proxy_session import EndedBy
 from swiftchute.platform.session_manager import SessionManager
 
 
@@ -88,7 +87,7 @@
         """Reset the connection; what waits for the client is lost."""
         if self in self.owner.clients:
             self.owner.sessions.statistics.unsent_overflow += 1
-            self.session.end("does not read", notify=False, ended_by=EndedBy.THIS_PROCESS)
+            self.session.end("does not read", notify=False)
             self.transport.abort()
 
     def _flush(self) -> None:
--- a/swiftchute/policy/egress_budget.py
+++ b/swiftchute/policy/egress_budget.py
@@ -1,12 +1,14 @@
 """The egress budget: how much may be written to proxies, and what they have not acknowledged yet.
 
 All entries that were not acknowledged count as still queued. So a slow channel, a lost acknowledgement or a
-proxy that has stopped holds pushes back, and no limit is exceeded.
+proxy that has stopped holds pushes back. The budget counts what this policy reserved for proxies that are
+connected; a frontend may observe more in the channel: what waits for sessions that have ended, what a policy
+wrote that has crashed since, and entries that the frontend added. Neither may exceed the limit.
 """
 
 from collections.abc import Iterable
 
-from swiftchute.api.events import ProxyId, PushAcknowledged
+from swiftchute.api.events import EgressQueueObserved, ProxyId, PushAcknowledged
 from swiftchute.policy.conditions import report_condition
 from swiftchute.policy.model import Proxy
 from swiftchute.policy.state import PolicyState
@@ -16,6 +18,7 @@
 PUSH_THRESHOLD = 0.5  # by ordinary pushes and assignments
 DRAIN_NOTICE_THRESHOLD = 0.7  # by assignments and ejections that tell of drains: drains in tables pass them
 URGENT_THRESHOLD = 0.9  # by urgent entries of tables
+QUEUE_THRESHOLD = 0.95  # by everything that may wait; the rest is for entries that a frontend adds
 PUSH_QUOTA_FRACTION = 0.6  # part of a proxy's message quota for ordinary pushes; the rest is for urgent ones
 MIN_QUEUED_FRACTION = 0.1  # of the queue, ahead of a message whose acknowledgement tells of the speed
 MIN_CHANNEL_SPEED_RATIO = 0.15  # the channel is not taken for slower than this part of its nominal speed
@@ -42,12 +45,19 @@
         self.channel_speed_ratio = 1.0
         self.nonce = 0
         self.reserved_entries: dict[ProxyId, float] = {}
+        self._unreserved_entries: float = 0  # in the channel, and not in `unacknowledged_entries`
         self._max_observed_ratio = 0.0  # the fastest since the last evaluation
         self._queued_entries_at_nonce: dict[int, float] = {}
 
+    @property
+    def queued_entries(self) -> float:
+        """Entries that may wait in the channel."""
+        return self.unacknowledged_entries + self._unreserved_entries
+
     def begin_round(self) -> None:
         """Start a round in which nothing is reserved yet."""
         self.reserved_entries = {}
+        self._unreserved_entries = 0
 
     def release(self, proxy: Proxy) -> None:
         """Give back what a disconnected proxy has not acknowledged."""
@@ -63,6 +73,10 @@
         while event.nonce in pending:
             self.unacknowledged_entries -= pending.pop(next(iter(pending)))
 
+    def on_egress_queue_observed(self, event: EgressQueueObserved) -> None:
+        """Count what is in the channel beyond what was reserved."""
+        self._unreserved_entries = max(event.entries - self.unacknowledged_entries, 0)
+
     def update_channel_speed(self, state: PolicyState) -> None:
         """Move the channel's speed half of the way to what acknowledgements showed since the last call.
 
@@ -112,7 +126,7 @@
             return
         self.nonce = self.nonce % MAX_NONCE + 1
         state.commands.request_ack(self.nonce, False)
-        self._queued_entries_at_nonce[self.nonce] = self.unacknowledged_entries
+        self._queued_entries_at_nonce[self.nonce] = self.queued_entries
         if len(self._queued_entries_at_nonce) > MAX_TRACKED_NONCES:
             del self._queued_entries_at_nonce[next(iter(self._queued_entries_at_nonce))]
         for name, entries in self.reserved_entries.items():
@@ -134,9 +148,12 @@
 
         A slow channel may hold no more than leaves it in the same time: a drain behind more would be late.
         """
-        limit = threshold * state.settings.egress_queue_limit_entries
-        queued = self.unacknowledged_entries
-        return queued + cost <= limit and queued <= self.channel_speed_ratio * limit
+        limit = state.settings.egress_queue_limit_entries
+        own_limit = threshold * limit
+        own = self.unacknowledged_entries
+        if own + cost > own_limit or own > self.channel_speed_ratio * own_limit:
+            return False
+        return self.queued_entries + cost <= QUEUE_THRESHOLD * limit
 
     def _quotas_allow(self, state: PolicyState, proxies: Iterable[ProxyId], quota_fraction: float) -> bool:
         """Return whether each proxy without a message in this round may be sent one."""
--- a/swiftchute/policy/reconciler.py
+++ b/swiftchute/policy/reconciler.py
@@ -6,6 +6,7 @@
 from swiftchute.api.commands import CommandSink
 from swiftchute.api.events import (
     DemandReport,
+    EgressQueueObserved,
     EndpointListUpdate,
     EndpointLoadReport,
     Event,
@@ -137,6 +138,7 @@
             EndpointLoadReport: lambda event: record_load_report(state, event),
             DemandReport: lambda event: record_demand_report(state, event),
             PushAcknowledged: lambda event: self.budget.on_push_acknowledged(state, event),
+            EgressQueueObserved: self.budget.on_egress_queue_observed,
             TimerFired: self._on_timer_fired,
             KeyRangeAssigned: self.key_ranges.on_assigned,
             KeyRangeRevoked: self.key_ranges.on_revoked,
