No message is written past the egress queue limit or a proxy's message quota

Cause: the two limits of the protocol were kept by the policy's reservations alone; what is written is decided later, by the encoder.

Fix: PushDelivery asks the ledger for room before a message counts as written. One that finds none is deferred, and later ones wait behind it, in order; each is made anew from what the proxy should hold by then. A proxy's messages within the window are counted on its session. Both act on what is written, so no reservation has to be right. The log says when the queue is full and when it has room again.

--- a/swiftchute/platform/egress_ledger.py
+++ b/swiftchute/platform/egress_ledger.py
@@ -7,6 +7,7 @@
 or until the slowest channel would have sent it.
 """
 
+import math
 from collections import deque
 from collections.abc import Iterable
 
@@ -66,6 +67,16 @@
         """Entries that may wait in the channel."""
         return self.in_flight_entries + self.ended_entries
 
+    @property
+    def free_entries(self) -> float:
+        """Entries that one more message may have, so that what waits stays within the limit.
+
+        A message that exceeds the whole queue by itself is written once nothing else waits.
+        """
+        if not self.total_entries:
+            return math.inf
+        return self._limit_entries - self.total_entries - self._overhead_entries
+
     @property
     def figures(self) -> dict[str, int]:
         """What is counted, by the names of the log's fields."""
--- a/swiftchute/platform/errors.py
+++ b/swiftchute/platform/errors.py
@@ -23,5 +23,9 @@
     """An object that is not a message: its kind is unknown, or a field is missing or out of range."""
 
 
+class EgressQueueFullError(PlatformError):
+    """A message has more entries than the egress queue can take now."""
+
+
 class MessageTooLargeError(PlatformError):
     """A message would need more parts than the protocol allows."""
--- a/swiftchute/platform/proxy_session.py
+++ b/swiftchute/platform/proxy_session.py
@@ -54,7 +54,7 @@
     __slots__ = (
         "handler", "opened_at_ns", "last_received_ns", "unparsed", "outgoing", "end_cause", "proxy",
         "collector_zone", "pending_nonces", "previous_policy_nonces", "bytes_written", "bytes_acknowledged",
-        "last_push_ns", "join_overdue", "transport",
+        "last_push_ns", "push_times_ns", "join_overdue", "transport",
     )  # fmt: skip
 
     def __init__(self, handler: MessageHandler, now_ns: int) -> None:
@@ -77,6 +77,7 @@
         self.bytes_written = 0  # of push messages
         self.bytes_acknowledged = 0
         self.last_push_ns = now_ns
+        self.push_times_ns: deque[int] = deque()  # of push messages that may count for the quota
         self.join_overdue = False
         self.transport: Any = None  # belongs to the server
 
@@ -154,6 +155,7 @@
         """Note that a push message is written; True if the oldest nonce counts as lost for it."""
         self.bytes_written += message_bytes
         self.last_push_ns = now_ns
+        self.push_times_ns.append(now_ns)
         if nonce is not None:
             self.pending_nonces.append(PendingNonce(nonce, self.bytes_written, now_ns))
         nonce_lost = len(self.pending_nonces) > MAX_PENDING_NONCES
--- a/swiftchute/platform/push_delivery.py
+++ b/swiftchute/platform/push_delivery.py
@@ -1,8 +1,10 @@
 """When a push message may be written to which proxy. No I/O.
 
-A proxy that does not read what it is sent must not make this process keep messages for it: past
-`MAX_UNREAD_BYTES` its rounds are merged into one later message, which the encoder makes from what the proxy
-should hold by then.
+A message is written at once, unless its proxy has too much to read, or the egress queue or the proxy's quota
+of messages has no room for it. The rounds of such a proxy are merged into one later message, which the
+encoder makes from what the proxy should hold by then. The limits are those of the protocol and bind whatever
+a policy has reserved. Messages for which the queue has no room go out in the order in which they were
+deferred, and before any later round.
 """
 
 from collections.abc import Iterable, Iterator
@@ -10,7 +12,7 @@
 from swiftchute.controller.assignments import RoundResult
 from swiftchute.controller.policy_runner import PolicyRunner
 from swiftchute.platform.egress_ledger import EgressLedger
-from swiftchute.platform.errors import MessageTooLargeError
+from swiftchute.platform.errors import EgressQueueFullError, MessageTooLargeError
 from swiftchute.platform.proxy_session import ProxySession
 from swiftchute.platform.push_encoder import PushEncoder
 from swiftchute.platform.statistics import SessionStatistics
@@ -46,6 +48,7 @@
         self._sessions = sessions
         self._statistics = statistics
         self._ledger = ledger
+        self._queue_full = False  # the first deferred message that may be written finds no room
         self._ejected: set[str] = set()  # endpoints ejected when proxies were last written to
         self.deferred_nonces: dict[int, int | None] = {}  # by proxy that could not be written to, the latest
 
@@ -70,35 +73,70 @@
             session = self._sessions.get(proxy)
             if session is None:
                 continue
-            if proxy in self.deferred_nonces or not self._may_write(session, now_ns):
-                self._statistics.merged += 1
-                self.deferred_nonces[proxy] = nonce if nonce is not None else self.deferred_nonces.get(proxy)
+            must_wait = self._queue_full or proxy in self.deferred_nonces
+            if must_wait or not self._may_write(session, now_ns):
+                self._defer(proxy, nonce)
+                continue
+            try:
+                data = self._encode(proxy, session, nonce, newly_ejected, now_ns)
+            except EgressQueueFullError as error:
+                self._defer(proxy, nonce)
+                self._report_queue_full(str(error))
                 continue
-            data = self._encode(proxy, session, nonce, newly_ejected, now_ns)
             if data:
                 yield session, data
 
     def deliver_deferred(self, now_ns: int) -> Iterator[Delivery]:
         """Yield one message for each proxy that was deferred and may be written to again."""
-        for proxy in list(self.deferred_nonces):
+        for proxy, nonce in list(self.deferred_nonces.items()):
             session = self._sessions[proxy]
-            if self._may_write(session, now_ns):
-                nonce = self.deferred_nonces.pop(proxy)
+            if not self._may_write(session, now_ns):
+                continue
+            try:
                 data = self._encode(proxy, session, nonce, self._runner.assignments.ejected, now_ns)
-                if data:
-                    yield session, data
+            except EgressQueueFullError as error:
+                self._report_queue_full(str(error))
+                return
+            del self.deferred_nonces[proxy]
+            if data:
+                yield session, data
+        if self._queue_full:
+            self._queue_full = False
+            self._runner.log_event("egress queue has room", lines=self._ledger.total_entries)
+
+    def _defer(self, proxy: int, nonce: int | None) -> None:
+        self._statistics.merged += 1
+        self.deferred_nonces[proxy] = nonce if nonce is not None else self.deferred_nonces.get(proxy)
 
-    @staticmethod
-    def _may_write(session: ProxySession, now_ns: int) -> bool:
-        """Whether a proxy has read enough of what it was sent, or is due to be tried again."""
-        return session.unread_bytes < MAX_UNREAD_BYTES or now_ns - session.last_push_ns >= UNREAD_RETRY_NS
+    def _report_queue_full(self, cause: str) -> None:
+        if not self._queue_full:
+            self._queue_full = True
+            self._runner.log_event("egress queue full", lines=self._ledger.total_entries, cause=cause)
+
+    def _may_write(self, session: ProxySession, now_ns: int) -> bool:
+        """Whether a proxy has read enough, or is due to be tried again, and its quota allows a message."""
+        has_read = session.unread_bytes < MAX_UNREAD_BYTES
+        retry_due = now_ns - session.last_push_ns >= UNREAD_RETRY_NS
+        return (has_read or retry_due) and self._quota_allows(session, now_ns)
+
+    def _quota_allows(self, session: ProxySession, now_ns: int) -> bool:
+        """Whether the protocol's number of messages to a proxy within the window is not reached."""
+        settings = self._runner.settings
+        times_ns = session.push_times_ns
+        while times_ns and now_ns - times_ns[0] > settings.message_quota_window_ns:
+            times_ns.popleft()
+        return not settings.message_quota or len(times_ns) < settings.message_quota
 
     def _encode(
         self, proxy: int, session: ProxySession, nonce: int | None, newly_ejected: Iterable[str], now_ns: int
     ) -> bytes:
-        """Encode the message to a proxy and count it as written; no bytes if there is nothing to write."""
+        """Encode the message to a proxy and count it as written; no bytes if there is nothing to write.
+
+        Raises:
+            EgressQueueFullError: The queue has no room for it now.
+        """
         try:
-            message = self._encoder.encode(proxy, nonce, newly_ejected)
+            message = self._encoder.encode(proxy, nonce, newly_ejected, self._ledger.free_entries)
         except MessageTooLargeError as error:
             self._statistics.too_large += 1
             self._runner.log_event("message too large", proxy=proxy, cause=str(error))
--- a/swiftchute/platform/push_encoder.py
+++ b/swiftchute/platform/push_encoder.py
@@ -10,6 +10,7 @@
 ejected there (see `listed_endpoints`).
 """
 
+import math
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
@@ -19,6 +20,7 @@
 from swiftchute.api.settings import Settings
 from swiftchute.controller.assignments import Assignments
 from swiftchute.platform import push_difference, wire_messages
+from swiftchute.platform.errors import EgressQueueFullError
 from swiftchute.platform.listed_endpoints import ListedEndpoints
 from swiftchute.platform.push_difference import TableContent
 
@@ -96,15 +98,23 @@
             self._contents[table] = (ordered.revision, content)
         return content
 
-    def encode(self, proxy: Any, nonce: int | None, newly_ejected: Iterable[str] = ()) -> EncodedPush:
+    def encode(
+        self,
+        proxy: Any,
+        nonce: int | None,
+        newly_ejected: Iterable[str] = (),
+        max_entries: float = math.inf,
+    ) -> EncodedPush:
         """Encode what leads a proxy from what was written to what it should hold now.
 
         Args:
             proxy: Its number.
             nonce: Number that the proxy is to acknowledge, if any.
             newly_ejected: Endpoints ejected since the last round, for a proxy that has no table yet.
+            max_entries: Entries that the message may have.
 
         Raises:
+            EgressQueueFullError: The message has more entries; it does not count as written.
             MessageTooLargeError: The difference does not fit into one message.
         """
         written = self.proxies[proxy]
@@ -120,6 +130,8 @@
             message = self._encode(written.tables, desired, eject, restore, nonce)
             if len(self._shared) < MAX_SHARED_MESSAGES:
                 self._shared[key] = message
+        if message.entry_count > max_entries:
+            raise EgressQueueFullError(f"{message.entry_count} entries, {max_entries:g} are free")
         self._record_written(written, desired, eject, restore)
         return message
 
--- a/tests/platform/test_egress_backlog.py
+++ b/tests/platform/test_egress_backlog.py
@@ -7,8 +7,15 @@
 
 import pytest
 
-from tests.support.channel import Channel
+from swiftchute.api.endpoints import EndpointRecord
+from swiftchute.api.settings import Settings
+from swiftchute.controller.policy_runner import PolicyRunner
+from swiftchute.platform.session_manager import SessionManager
+from swiftchute.policy import Reconciler
+from tests.support.channel import Channel, S
 from tests.support.platform import Client, Discovery, PlatformProcess, wire_settings
+from tests.support.sessions import ACK, HELLO, text
+from tests.support.settings import FACTS, operation
 
 PROXIES = 200
 TABLE_ENTRIES = 20
@@ -100,3 +107,109 @@
             await process.stop()
 
     asyncio.run(scenario())
+
+
+class ScriptedFleet:
+    """The session manager with the real policy and no sockets, behind the model of the channel."""
+
+    def __init__(self, **facts):
+        operations = (operation("read"), operation("write"))
+        limits = {
+            "proxy_count": PROXIES, "subset_size": TABLE_ENTRIES, "egress_rate_entries_per_s": RATE_PER_S,
+            "egress_queue_limit_entries": LIMIT, "message_overhead_entries": 10, "message_quota": 30,
+        }  # fmt: skip
+        settings = Settings(**(FACTS | {"operations": operations} | limits | facts))
+        self.now, self.sessions, self.crashes = 1000 * S, {}, 0
+        self.runner = PolicyRunner(settings, 7, self._policy, self.now)
+        self.manager = SessionManager(self.runner, 1024)
+        self.channel = Channel(RATE_PER_S, LIMIT, overhead=10, quota=30)
+
+    def _policy(self, settings, seed):
+        policy = Reconciler(settings, seed)
+        reconcile = policy.reconcile
+
+        def crash_when_told(now, events, commands):
+            reconcile(now, events, commands)
+            if self.crashes:
+                self.crashes -= 1
+                raise RuntimeError("crash of the test")
+
+        policy.reconcile = crash_when_told
+        return policy
+
+    def list_endpoints(self, scope, state="ready", started_s=0, names=None):
+        names = names or [member["id"] for member in MEMBERS]
+        zones = {"e": "east", "w": "west"}
+        self.manager.update_list(
+            scope, [EndpointRecord(n, zones[n[0]], "", 0, state, 1.0, started_s * S) for n in names]
+        )
+
+    def connect(self, proxies, fresh=True):
+        for proxy in proxies:
+            session = self.manager.open_session(self.now)
+            session.receive_data(text(HELLO | {"proxy": proxy, "fresh": fresh}), self.now)
+            self.sessions[proxy] = session
+
+    def end(self, proxies, cause="the connection broke"):
+        for proxy in proxies:
+            self.manager.session_closed(self.sessions.pop(proxy), cause)
+
+    def run(self, seconds):
+        """Rounds of 20 ms; what leaves the channel is acknowledged where its stream is open."""
+        for _ in range(int(seconds * 50)):
+            self.now += S // 50
+            for message in self.channel.leave(self.now):
+                session = message.stream
+                if message.nonce is not None and self.sessions.get(session.proxy) is session:
+                    answer = ACK | {"proxy": session.proxy, "mark": message.nonce, "took_ms": 900.0}
+                    session.receive_data(text(answer), self.now)
+            for session, data in self.manager.run_round(self.now):
+                for line in data.splitlines():
+                    self.channel.receive(session, line, self.now)
+
+    def check(self):
+        assert self.channel.messages > PROXIES
+        assert self.channel.over_limit == []
+        assert self.channel.over_quota == []
+        for session in self.sessions.values():
+            assert self.manager.encoder.proxies[session.proxy].tables, "no table was ever written"
+
+
+def crashing_policy(fleet, draw):
+    """The policy crashes every 0.4 s while the whole fleet waits for its tables."""
+    fleet.list_endpoints("held")
+    fleet.connect(range(PROXIES))
+    for _ in range(5):
+        fleet.run(0.4)
+        fleet.crashes = 1
+    fleet.run(30)
+
+
+def streams_ended_here(fleet, draw):
+    """Half of the streams are closed by this process each second and come again."""
+    fleet.list_endpoints("held")
+    fleet.connect(range(PROXIES))
+    for _ in range(6):
+        fleet.run(0.5)
+        ended = draw.sample(range(PROXIES), PROXIES // 2)
+        fleet.end(ended, "does not read")
+        fleet.connect(ended, fresh=False)
+    fleet.run(20)
+
+
+def restarted_during_a_release(fleet, draw):
+    """All proxies come from another instance, and every endpoint may be ejected there."""
+    fleet.list_endpoints("held", started_s=900)
+    fleet.connect(range(PROXIES), fresh=False)
+    for k in range(TABLE_ENTRIES):
+        fleet.run(0.3)
+        fleet.list_endpoints("changes", "draining" if k % 2 else "ready", 900, [f"e{k}", f"w{k}"])
+    fleet.run(30)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("fault", [crashing_policy, streams_ended_here, restarted_during_a_release])
+def test_the_egress_queue_and_the_message_quota_hold_whatever_the_policy_believes(fault, seed):
+    fleet = ScriptedFleet()
+    fault(fleet, random.Random(seed))
+    fleet.check()
