A mean latency of 0 ms no longer crashes the policy

Cause: the cost of a good answer was 0, and outlier_detection (usual cost / cost) and overload_control (calm load ratio / load ratio) divide by it.

Fix: the cost of RecentStats is at least MIN_COST_NS, 1 ns, in the one place that works it out.

--- a/swiftchute/policy/load_stats.py
+++ b/swiftchute/policy/load_stats.py
@@ -15,6 +15,7 @@
     1 * NS_PER_S
 )  # the same for the load of a zone: admission needs fresher reports
 MIN_ATTEMPTS = 6  # with fewer attempts the figures of an endpoint, or of a zone, are chance
+MIN_COST_NS = 1.0  # collectors may round a mean latency down to 0; costs are divided by
 MIN_SUCCESSES = 0.1  # stands for no success at all in the cost of a good answer
 CALM_LOAD_RATIO = 0.35  # latency / objective below which a zone is not overloaded
 FLOODED_LOAD_RATIO = 1.0  # latency / objective above which most requests of a zone are answered too late
@@ -25,7 +26,7 @@
 
     attempts: int
     failures: int
-    cost_ns: float  # mean cost of a good answer, where a failed attempt costs a latency objective
+    cost_ns: float  # mean cost of a good answer, above 0, where a failed attempt costs a latency objective
 
 
 def record_load_report(state: PolicyState, report: EndpointLoadReport) -> None:
@@ -108,7 +109,8 @@
         failures += sample_failures
         latency_ns += (sample_attempts - sample_failures) * mean_latency_ns
     successes = max(attempts - failures, MIN_SUCCESSES)
-    return RecentStats(attempts, failures, (latency_ns + failures * state.latency_objective_ns) / successes)
+    cost_ns = (latency_ns + failures * state.latency_objective_ns) / successes
+    return RecentStats(attempts, failures, max(cost_ns, MIN_COST_NS))
 
 
 def success_rate(
