Streams whose reports wait in the sockets are no longer closed as silent

What callers could see: after a stop of the process longer than the silence limit, each proxy that owed an acknowledgement was reset although it had reported every second; all come back at once.

Cause: the event loop runs timers before it polls the sockets, so Server._check_timeouts judged the silence before the reports were read.

Evidence: a real process whose limit is 1 s, stopped for 3 s while 20 proxies report each 0.25 s: streams reset before, none now (a stop of 1.5 s passed before, too: the poll that the stop interrupts may still read). A first test that blocked the loop of this process passed without the fix, as a callback that blocks is followed by a poll; it was not kept.

Fix: the check runs after the next poll of the sockets, as rounds of the policy do.

--- a/swiftchute/platform/server.py
+++ b/swiftchute/platform/server.py
@@ -161,9 +161,12 @@
             self._requested_round = self.event_loop.call_later(wait_ns / NS_PER_S, self._run_after_reading)
 
     def _run_after_reading(self) -> None:
-        # What is called from here runs before the next poll of the sockets, what is called from there after
-        # it.
-        self.event_loop.call_soon(self.event_loop.call_soon, self._run_round)
+        self._call_after_reading(self._run_round)
+
+    def _call_after_reading(self, callback: Callable[[], None]) -> None:
+        """Call back after the next poll of the sockets: timers run before it, also after a stop."""
+        # What is called from here runs before that poll, what is called from there after it.
+        self.event_loop.call_soon(self.event_loop.call_soon, callback)
 
     def _run_round(self) -> None:
         if self.stopping:
@@ -191,6 +194,11 @@
 
     def _check_timeouts(self) -> None:
         self.event_loop.call_later(connection_limits.CHECK_INTERVAL_S, self._check_timeouts)
+        self._call_after_reading(self._check_timeouts_now)
+
+    def _check_timeouts_now(self) -> None:
+        if self.stopping:
+            return
         now_ns = self.clock()
         self.sessions.check_timeouts(now_ns)
         for update in self.discovery.check_timeouts(now_ns):
--- a/tests/platform/test_process_signals.py
+++ b/tests/platform/test_process_signals.py
@@ -1,5 +1,6 @@
 """Signals raised at a marked place of a process, and a process that runs out of descriptors."""
 
+import asyncio
 import contextlib
 import json
 import os
@@ -16,6 +17,9 @@
     MEMBERS,
     ROOT,
     TIMEOUT_S,
+    Client,
+    Discovery,
+    PlatformProcess,
     free_port,
     wire_settings,
 )
@@ -185,3 +189,35 @@
     platform.process.send_signal(signal.SIGTERM)
     assert platform.event("stopped")["evicted"] > 0  # they were let go by rule, not by the want itself
     assert platform.end() == 0
+
+
+SHORT_SILENCE = "from swiftchute.platform import session_manager; session_manager.IDLE_TIMEOUT_NS = 10**9"
+
+
+@pytest.mark.parametrize("stopped_s", [1.5, 3.0])
+def test_reports_that_wait_while_the_process_is_stopped_keep_their_streams(tmp_path, stopped_s):
+    async def scenario():
+        process = PlatformProcess(tmp_path, (await Discovery().start()).address, prelude=SHORT_SILENCE)
+        try:
+            await process.event("serving")
+            proxies = [await Client().open_proxy(process.port, proxy) for proxy in range(20)]
+            for proxy in proxies:
+                await proxy.receive_table()  # it owes the acknowledgement of its table
+            process.process.send_signal(signal.SIGSTOP)
+            for _ in range(int(stopped_s / 0.25)):
+                for number, proxy in enumerate(proxies):
+                    report = {"msg": "demand", "proxy": number, "class": "read", "tries": 1, "failed": 0}
+                    proxy.send(report | {"span_ms": 250.0})
+                await asyncio.sleep(0.25)
+            process.process.send_signal(signal.SIGCONT)
+            await asyncio.sleep(0.5)
+            for number, proxy in enumerate(proxies):
+                proxy.send({"msg": "probe"})
+                while (message := await proxy.receive()) is not None and message["msg"] != "alive":
+                    pass
+                assert message is not None, f"the stream of proxy {number} was closed"
+        finally:
+            process.process.send_signal(signal.SIGCONT)
+            await process.stop()
+
+    asyncio.run(scenario())
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -140,15 +140,17 @@
 
 
 class PlatformProcess:
-    """`python -m swiftchute.platform`, with its log."""
+    """`python -m swiftchute.platform`, with its log; `prelude` is code that runs before it."""
 
-    def __init__(self, tmp_path, discovery, /, **changes):
+    def __init__(self, tmp_path, discovery, /, prelude=None, **changes):
         self.port = free_port()
         self.file = tmp_path / "config.json"
         self.configuration = wire_configuration(self.port, discovery, **changes)
         self.write()
+        start = "import runpy; runpy.run_module('swiftchute.platform', run_name='__main__')"
+        code = ["-m", "swiftchute.platform"] if prelude is None else ["-c", f"{prelude}; {start}"]
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "swiftchute.platform"],
+            [sys.executable, *code],
             cwd=ROOT,
             env=os.environ | {"GW_CONFIG": str(self.file)},
             stderr=subprocess.PIPE,
