A message deferred before a policy crash carries no nonce of the old policy

What callers could see: entries given back by an acknowledgement that was not for them, so more in the channel than the policy counts.

Cause: PushDelivery kept the nonce of a deferred message over a restart of the policy. The new policy counts from 1 again; the session took the old number for one of the new policy's, and the acknowledgement settled whatever the new policy had under it.

Fix: the deferral stays, its nonce goes.

The new test of test_push_delivery.py failed before: PushAcknowledged(2, 3) reached a policy that had asked for 1.

--- a/swiftchute/platform/push_delivery.py
+++ b/swiftchute/platform/push_delivery.py
@@ -55,6 +55,8 @@
     def on_policy_restart(self) -> None:
         """Note that the assignments are those of a new policy."""
         self._ejected = set()
+        # The new policy counts its nonces from the beginning again: an old one could be taken for its own.
+        self.deferred_nonces = dict.fromkeys(self.deferred_nonces)
 
     def remove_proxy(self, proxy: int) -> None:
         """Forget what was deferred for a proxy."""
--- a/tests/platform/test_push_delivery.py
+++ b/tests/platform/test_push_delivery.py
@@ -198,3 +198,19 @@
     world.now += 10 * S + 1
     ((_, data),) = world.round()
     assert json.loads(data)["endpoints"] == [["a", 31.0]]
+
+
+def test_a_message_deferred_before_a_policy_crash_carries_no_nonce_of_the_old_policy():
+    world = World(egress_queue_limit_entries=60)
+    first, second = [world.open(HELLO | {"proxy": proxy}) for proxy in (1, 2)]
+    weights = [("set_weight", 1, f"s{k}", 1.0) for k in range(40)]
+    assignments = [("assign_table", proxy, 1, 0) for proxy in (1, 2)]
+    assert len(world.round(*weights, *assignments, ("request_ack", 3, False))) == 1
+    assert world.manager.deferred_proxies == {2}
+    crash(world)
+    world.round(*weights[:2], *assignments, ("request_ack", 1, False))
+    world.send(first, ACK | {"mark": 3})
+    written = {session.proxy: json.loads(data) for session, data in world.round()}
+    assert written[2].get("nonce_out") == 1
+    world.send(second, ACK | {"proxy": 2, "mark": 3})
+    assert world.events(PushAcknowledged) == []
