An ADS stream whose acknowledgement waits in the socket is not ended after a stop

What callers could see: a serve process that was stopped for longer than the time for acknowledgements ended every ADS stream that owed one, also those whose acknowledgement lay in the socket.

Fix: the first check marks the stream, the second, CHECK_INTERVAL_NS later, ends it.

--- a/swiftchute/xds/frontend.py
+++ b/swiftchute/xds/frontend.py
@@ -96,6 +96,7 @@
         self._streams: dict[int, _OpenStream] = {}
         self._stream_ids: dict[str, int] = {}  # by proxy
         self._changed: set[int] = set()  # streams that may have something to send
+        self._overdue: set[int] = set()  # streams found without an acknowledgement in time
         self._unavailable = controller.unavailable_endpoints
         self._publication_count = 0
         self._checked_at_ns = 0
@@ -161,6 +162,7 @@
         node, _ = self._streams.pop(stream_id)
         del self._stream_ids[node.node]
         self._changed.discard(stream_id)
+        self._overdue.discard(stream_id)
         self._controller.on_proxy_disconnected(node.node)
         self._controller.log_event("proxy left", proxy=node.node, cause=cause)
 
@@ -217,13 +219,21 @@
         self._changed.add(stream_id)
 
     def _check_timeouts(self, now_ns: int) -> None:
-        """Advance streams with a retry that is due, and end those that do not acknowledge in time."""
+        """Advance streams with a retry that is due, and end those that do not acknowledge in time.
+
+        A stream is ended by the second check that finds it overdue: its acknowledgement may lie in the socket
+        of a process that was stopped, and is read between the two.
+        """
         timeout_ns = self._options.ack_timeout_ns
         for stream_id, (node, stream) in list(self._streams.items()):
             if stream.retry_at_ns is not None and now_ns >= stream.retry_at_ns:
                 self._changed.add(stream_id)
             oldest_ns = stream.oldest_pending_ns()
-            if oldest_ns is not None and now_ns - oldest_ns > timeout_ns:
+            if oldest_ns is None or now_ns - oldest_ns <= timeout_ns:
+                self._overdue.discard(stream_id)
+            elif stream_id not in self._overdue:
+                self._overdue.add(stream_id)
+            else:
                 seconds = round((now_ns - oldest_ns) / SECOND_NS, 1)
                 self._controller.log_event("proxy silent", proxy=node.node, seconds=seconds)
                 text = f"nothing acknowledged for {timeout_ns / SECOND_NS:g} s"
