A crash of the policy no longer forgets the message quota of the xDS and DNS controller

What callers could see: after crashes of the policy, more messages to a proxy within the window than update_cap allows, over xDS.

Cause: Controller._reset made a new EgressQueue with each policy, which forgot when messages had been sent: the related path of the platform's quota.

Fix: the queue belongs to the controller; a crash drops what waits in it, which no longer holds (EgressQueue.drop_all), and keeps what was sent.

--- a/swiftchute/controller/controller.py
+++ b/swiftchute/controller/controller.py
@@ -94,27 +94,27 @@
         self.push_count = 0
         self.tables_of_crashed_policy: dict[Any, ProxyTables] = {}  # by proxies that still hold them
         self.output = RoundOutput()
+        self.egress_queue = EgressQueue(
+            settings.egress_rate_entries_per_s,
+            settings.egress_queue_limit_entries,
+            settings.message_overhead_entries,
+            settings.message_quota,
+            settings.message_quota_window_ns,
+        )
         self._reset()
 
     def _reset(self) -> None:
         """Make the state that belongs to one policy incarnation."""
-        settings = self.settings
         for proxy in list(self.deliveries.holdings_by_proxy):  # those of a crashed policy are unassigned
             self.deliveries.on_disconnected(proxy)
         self.observed_traffic = ObservedTraffic()
         self.nonces = NonceTracker()
-        self.egress_queue = EgressQueue(
-            settings.egress_rate_entries_per_s,
-            settings.egress_queue_limit_entries,
-            settings.message_overhead_entries,
-            settings.message_quota,
-            settings.message_quota_window_ns,
-        )
+        self.egress_queue.drop_all()
         self.publish_gate: PublishGate | None = None
         self.safety_review: SafetyReview | None = None
         if self.safety_rules is not None:
             seed = self.runner.random.getrandbits(32)
-            self.publish_gate = PublishGate(settings, self.safety_rules, self.enforce, seed)
+            self.publish_gate = PublishGate(self.settings, self.safety_rules, self.enforce, seed)
             self.safety_review = SafetyReview(
                 self.publish_gate,
                 self.observed_traffic,
--- a/swiftchute/controller/egress_queue.py
+++ b/swiftchute/controller/egress_queue.py
@@ -104,6 +104,10 @@
         if not self.waiting:
             self.queued_entries = 0.0
 
+    def drop_all(self) -> None:
+        """Remove all waiting messages; what was sent still counts for the message quotas."""
+        self.waiting, self.queued_entries = {}, 0.0
+
     def on_proxy_disconnected(self, proxy: Any) -> None:
         """Drop what waits for a proxy; its quota is counted anew from its next connection on."""
         self.drop(proxy)
--- a/tests/controller/test_controller.py
+++ b/tests/controller/test_controller.py
@@ -2,8 +2,9 @@
 
 from dataclasses import replace
 
+from swiftchute.api.events import TimerFired
 from swiftchute.controller.controller import Controller
-from tests.support.controller import SETTINGS, play, published_weights, start
+from tests.support.controller import NS_PER_S, SETTINGS, play, published_weights, start
 
 
 class VerbosePolicy:
@@ -33,3 +34,28 @@
     assert output.overflowed_proxies == ["p"]
     assert output.log_events[0][0] == "egress queue full"
     assert controller.egress_queue.queued_entries == 0
+
+
+class CrashingAfterCommands(VerbosePolicy):
+    """Assigns a table in each round, and crashes in every twelfth one."""
+
+    rounds = 0
+
+    def reconcile(self, now, events, commands):
+        CrashingAfterCommands.rounds += 1
+        if CrashingAfterCommands.rounds % 12 == 0:
+            raise ZeroDivisionError("on purpose")
+        super().reconcile(now, events, commands)
+
+
+def test_a_policy_that_crashes_again_and_again_writes_no_more_messages_than_the_quota():
+    settings = replace(SETTINGS, egress_rate_entries_per_s=1e6, message_quota=10)
+    controller = start(Controller(settings, 7, CrashingAfterCommands), "a:1")
+    times = []
+    for step in range(3000):
+        now = step * NS_PER_S // 100
+        controller.runner.enqueue(TimerFired(0))
+        times += [now for _ in controller.run_round(now).pushes]
+    assert controller.runner.counters.crashes >= 5
+    assert len(times) > 10
+    assert all(times[k + 10] - times[k] > 10 * NS_PER_S for k in range(len(times) - 10))
--- a/tests/xds/test_frontend.py
+++ b/tests/xds/test_frontend.py
@@ -19,7 +19,11 @@
     frontend = XdsFrontend(controller, controller.settings, FrontendOptions(1, ACK_TIMEOUT_NS, 1.0, 10), 7)
     frontend.open_stream(1, ProxyNode("p", "east", 1.0, True, frozenset()), False, START)
     frontend.on_request(1, AdsRequest(names.CDS), START)
-    policy.writes = [("set_weight", 1, "127.0.0.1:9100", 1.0), ("assign_table", "p", 1, 0), ("request_ack", 5, False)]
+    policy.writes = [
+        ("set_weight", 1, "127.0.0.1:9100", 1.0),
+        ("assign_table", "p", 1, 0),
+        ("request_ack", 5, False),
+    ]
     output = frontend.publish(controller.run_round(START), START)
     if not output.responses:  # the egress queue sends a little later
         output = frontend.publish(controller.run_round(START + S), START + S)
