Tests: drawn faults of all kinds against the egress queue, and signals beside kills

mixed_faults draws crashes of the policy, streams that end from either side, drains, starts and removals, stops of the process and a slow channel, one by one and at once; afterwards every proxy must hold what it should. The scenario with the real process now also stops it while the killed proxies return, with a SIGHUP.

--- a/tests/platform/test_egress_backlog.py
+++ b/tests/platform/test_egress_backlog.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import signal
 import time
 
 import pytest
@@ -97,8 +98,13 @@
                 killed = draw.sample(range(PROXIES), 7 * PROXIES // 10)
                 fleet.kill(killed)
                 await fleet.run(draw.uniform(0.1, 0.4))
+                if draw.random() < 0.5:  # the killed proxies return while the process is stopped
+                    process.process.send_signal(signal.SIGSTOP)
+                    process.process.send_signal(signal.SIGHUP)
                 await fleet.connect(killed)
-                await fleet.run(0.8)
+                await fleet.run(0.4)
+                process.process.send_signal(signal.SIGCONT)
+                await fleet.run(0.4)
             assert fleet.channel.messages > PROXIES
             assert fleet.channel.over_limit == []
             assert fleet.channel.over_quota == []
@@ -168,11 +174,17 @@
                     self.channel.receive(session, line, self.now)
 
     def check(self):
+        """The limits held, and in the end every proxy holds what it should."""
         assert self.channel.messages > PROXIES
         assert self.channel.over_limit == []
         assert self.channel.over_quota == []
-        for session in self.sessions.values():
-            assert self.manager.encoder.proxies[session.proxy].tables, "no table was ever written"
+        assert not self.manager.deferred_proxies
+        encoder = self.manager.encoder
+        for proxy in self.sessions:
+            assigned = self.runner.assignments.proxies[proxy].table_by_operation
+            desired = {operation: encoder.table_content(table) for operation, table in assigned.items()}
+            assert desired
+            assert encoder.proxies[proxy].tables == desired
 
 
 def crashing_policy(fleet, draw):
@@ -207,8 +219,41 @@
     fleet.run(30)
 
 
+def mixed_faults(fleet, draw):
+    """Faults of all kinds, one after the other and at once, on a channel that is slow for a while."""
+    fleet.list_endpoints("held", started_s=draw.choice((0, 900)))
+    fleet.connect(range(PROXIES), fresh=draw.random() < 0.5)
+    fleet.channel.rate_per_s = RATE_PER_S / draw.choice((1, 2, 4))
+    for _ in range(20):
+        fleet.run(draw.choice((0.02, 0.1, 0.5, 1.5)))
+        some = draw.sample(range(PROXIES), draw.choice((1, PROXIES // 10, 7 * PROXIES // 10, PROXIES)))
+        names = draw.sample([member["id"] for member in MEMBERS], draw.choice((1, TABLE_ENTRIES // 2)))
+        for _ in range(draw.choice((1, 1, 2))):
+            match draw.choice(("crash", "reset", "ended", "drain", "start", "removed", "stop")):
+                case "crash":
+                    fleet.crashes = draw.choice((1, 3))
+                case "reset" | "ended" as kind:
+                    present = [proxy for proxy in some if proxy in fleet.sessions]
+                    fleet.end(present, "the connection broke" if kind == "reset" else "does not read")
+                    fleet.connect(present, fresh=draw.random() < 0.3)
+                case "drain":
+                    fleet.list_endpoints("changes", "draining", 0, names)
+                case "start":
+                    fleet.list_endpoints("changes", "ready", fleet.now // S, names)
+                case "removed":
+                    fleet.list_endpoints("changes", "gone", 0, names)
+                case "stop":
+                    fleet.now += draw.choice((3, 17)) * S
+    fleet.crashes = 0
+    fleet.channel.rate_per_s = RATE_PER_S
+    fleet.list_endpoints("changes", "ready", 0)
+    fleet.run(60)
+
+
 @pytest.mark.parametrize("seed", [1, 2])
-@pytest.mark.parametrize("fault", [crashing_policy, streams_ended_here, restarted_during_a_release])
+@pytest.mark.parametrize(
+    "fault", [mixed_faults, crashing_policy, streams_ended_here, restarted_during_a_release]
+)
 def test_the_egress_queue_and_the_message_quota_hold_whatever_the_policy_believes(fault, seed):
     fleet = ScriptedFleet()
     fault(fleet, random.Random(seed))
