Ages of endpoints on the platform do not follow a stepped wall clock

What callers could see: after a step of the wall clock of an hour forward, before the start of this process, an endpoint that has just started gets its full load (the rule on warming endpoints); after a step back it stays out of its table, or at a quarter of its weight, for an hour.

Cause: warmup_progress subtracts the wall clock time that discovery gives from a clock whose offset to Unix time was fixed at the start.

Fix: StartTimes puts each start on the clock of this process when it is first told: never in the future, and no older than the last time discovery was heard, less the 6 s that it may be late. A start that is known stays as it was put. Of the first list the wall clock alone tells.

--- a/swiftchute/platform/discovery_client.py
+++ b/swiftchute/platform/discovery_client.py
@@ -64,6 +64,7 @@
             random: Source of the jitter between connections.
         """
         self.endpoint_list = endpoint_list
+        self.heard_ns: int | None = None  # when a watch last said what has changed, or that nothing has
         self.address: Address | None = None
         self.current: DiscoveryConnection | None = None
         self.previous: DiscoveryConnection | None = None
@@ -110,6 +111,8 @@
             self._to_close.append(connection)
             self.connection_closed(connection, str(error), now_ns)
         watch = connection.watch
+        if watch.has_update:
+            self.heard_ns = now_ns
         if connection is self.current and watch.has_line and watch.lagging is None:
             self._close_previous()
 
--- a/swiftchute/platform/server.py
+++ b/swiftchute/platform/server.py
@@ -24,6 +24,7 @@
 from swiftchute.platform.session_manager import SessionManager
 from swiftchute.platform.settings import Configuration
 from swiftchute.platform.signals import StartupSignals
+from swiftchute.platform.start_times import StartTimes
 from swiftchute.platform.transports import ClientTransport, DiscoveryTransport
 from swiftchute.policy import Reconciler
 
@@ -31,7 +32,10 @@
 
 
 def steady_clock() -> Callable[[], int]:
-    """Return a clock of Unix nanoseconds that never goes back: the monotonic clock plus a fixed offset."""
+    """Return a clock that never goes back: the monotonic clock plus the offset of Unix time at the start.
+
+    A wall clock that is stepped later does not move it; `start_times` compares it with others' times.
+    """
     offset = time.time_ns() - time.monotonic_ns()
     return lambda: time.monotonic_ns() + offset
 
@@ -65,6 +69,7 @@
         self.runner = PolicyRunner(configuration.settings, configuration.seed, Reconciler, self.clock())
         self.sessions = SessionManager(self.runner, self._usable_sockets())
         self.discovery = DiscoveryClient(self.endpoint_list, random.Random(configuration.seed))
+        self._start_times = StartTimes()
         self.clients: set[ClientTransport] = set()
         self._schedule = RoundSchedule()
         self._requested_round: asyncio.TimerHandle | None = None
@@ -230,7 +235,9 @@
         for cause in update.rejections_to_log:
             self.log("endpoint rejected", cause=cause, rejected=len(update.rejected))
         if update.changes_list:
-            self.sessions.update_list(update.scope, update.endpoints)
+            now_ns, heard_ns = self.clock(), self.discovery.heard_ns
+            records = [self._start_times.adjust(record, now_ns, heard_ns) for record in update.endpoints]
+            self.sessions.update_list(update.scope, records)
             if not update.is_cached:
                 self._request_round()
 
