Ages of endpoints in serve do not follow a stepped wall clock

What callers could see: as on the platform: after a step of an hour an endpoint that has just started counted as an hour old (its full load at once), or as started an hour from now, in the policy and in the safety rule on slow start.

Cause: the offset of the wall clock is fixed at the start of the process, and every start in a list is taken by it.

Fix: StartTimes moves to discovery and serves both programs. In serve a start in a list after the first is no older than the time since the last good poll, and 6 s.

--- a/swiftchute/daemon/service.py
+++ b/swiftchute/daemon/service.py
@@ -4,9 +4,11 @@
 import signal
 import time
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Any
 
 from swiftchute.admin.server import AdminServer
+from swiftchute.api.endpoints import ListScope
 from swiftchute.config import Config
 from swiftchute.controller.controller import Controller
 from swiftchute.controller.policy_runner import PolicyFactory
@@ -17,6 +19,7 @@
 from swiftchute.discovery.endpoint_list import EndpointList
 from swiftchute.discovery.errors import EndpointListError
 from swiftchute.discovery.sources import FileSource, HttpSource
+from swiftchute.discovery.start_times import StartTimes
 from swiftchute.dns.frontend import DnsFrontend
 from swiftchute.dns.server import DnsServer
 from swiftchute.dns.settings import DnsSettings
@@ -29,6 +32,7 @@
 NS_PER_S = 1_000_000_000
 MIN_ROUND_INTERVAL_NS = 1_000_000
 DROP_REPORT_INTERVAL_NS = 10 * NS_PER_S
+MAX_LIST_DELAY_NS = 6 * NS_PER_S  # until a list tells of a start
 MAX_LOGGED_ENTRIES = 16  # skipped entries of one endpoint list that are logged
 WARNING_EVENTS = frozenset(
     {
@@ -114,6 +118,8 @@
         )
         wall_clock_offset_ns = time.time_ns() - now
         self.endpoint_list = EndpointList(config.settings.zones, wall_clock_offset_ns)
+        self._start_times = StartTimes(MAX_LIST_DELAY_NS)
+        self._unreadable_since_ns: int | None = None  # since before the first failed poll in a row
         self.dns_server: DnsServer | None = None
         if config.dns["listen"]:
             frontend = DnsFrontend(
@@ -206,6 +212,7 @@
         try:
             change = self.endpoint_list.update(text)
         except EndpointListError as error:
+            self._unreadable_since_ns = self._list_heard_ns()
             self.log.warning(
                 "endpoint list rejected",
                 cause=str(error),
@@ -213,8 +220,13 @@
                 bad=self.endpoint_list.rejected_count,
             )
             return
+        heard_ns = self._list_heard_ns() if change is None or change.scope != ListScope.CACHED else None
+        self._unreadable_since_ns = None
         if change is None:
             return
+        now = self.clock()
+        records = tuple(self._start_times.adjust(record, now, heard_ns) for record in change.endpoints)
+        change = replace(change, endpoints=records)
         for cause in change.skipped[:MAX_LOGGED_ENTRIES]:
             self.log.warning("endpoint rejected", cause=cause)
         self.log.info(
@@ -226,7 +238,14 @@
         self.controller.on_list_update(change)
         self.scheduler.request_round()
 
+    def _list_heard_ns(self) -> int:
+        """When the list was last known to be up to date, before the poll that is handled now."""
+        if self._unreadable_since_ns is not None:
+            return self._unreadable_since_ns
+        return self.clock() - self.config.list["every"]
+
     def _on_list_unreadable(self, cause: str) -> None:
+        self._unreadable_since_ns = self._list_heard_ns()
         self.endpoint_list.rejected_count += 1
         self.log.warning(
             "endpoint list unreadable",
--- a/swiftchute/platform/start_times.py
+++ b/swiftchute/discovery/start_times.py
@@ -10,11 +10,8 @@
 from typing import NamedTuple
 
 from swiftchute.api.endpoints import EndpointRecord
-from swiftchute.platform.discovery_messages import MAX_ENDPOINTS
-from swiftchute.platform.discovery_watch import MAX_DELIVERY_DELAY_NS
-from swiftchute.platform.listed_endpoints import MAX_REMOVED_ENDPOINTS
 
-MAX_REMEMBERED_STARTS = MAX_ENDPOINTS + MAX_REMOVED_ENDPOINTS
+MAX_REMEMBERED_STARTS = 25_000  # past it that of the endpoint that was listed first is forgotten
 
 
 class Start(NamedTuple):
@@ -27,8 +24,9 @@
 class StartTimes:
     """The last start of each endpoint that was listed."""
 
-    def __init__(self) -> None:
-        """No endpoint was listed yet."""
+    def __init__(self, max_delay_ns: int) -> None:
+        """No endpoint was listed yet; discovery tells of a start `max_delay_ns` after it at the latest."""
+        self._max_delay_ns = max_delay_ns
         self._starts: dict[str, Start] = {}
 
     def adjust(self, record: EndpointRecord, now_ns: int, heard_ns: int | None) -> EndpointRecord:
@@ -43,13 +41,12 @@
             return record
         start = self._starts.get(record.endpoint)
         if start is None or start.listed_ns != record.started_ns:
-            start = Start(record.started_ns, _bounded_start_ns(record.started_ns, now_ns, heard_ns))
+            start = Start(record.started_ns, self._bounded_start_ns(record.started_ns, now_ns, heard_ns))
             self._starts[record.endpoint] = start
             if len(self._starts) > MAX_REMEMBERED_STARTS:
                 del self._starts[next(iter(self._starts))]
         return record._replace(started_ns=start.started_ns)
 
-
-def _bounded_start_ns(listed_ns: int, now_ns: int, heard_ns: int | None) -> int:
-    earliest_ns = listed_ns if heard_ns is None else heard_ns - MAX_DELIVERY_DELAY_NS
-    return min(max(listed_ns, earliest_ns), now_ns)
+    def _bounded_start_ns(self, listed_ns: int, now_ns: int, heard_ns: int | None) -> int:
+        earliest_ns = listed_ns if heard_ns is None else heard_ns - self._max_delay_ns
+        return min(max(listed_ns, earliest_ns), now_ns)
--- a/swiftchute/platform/server.py
+++ b/swiftchute/platform/server.py
@@ -16,15 +16,16 @@
 import msgspec
 
 from swiftchute.controller.policy_runner import PolicyRunner
+from swiftchute.discovery.start_times import StartTimes
 from swiftchute.platform import connection_limits, settings
 from swiftchute.platform.discovery_client import DiscoveryClient, DiscoveryConnection, OpenConnection
+from swiftchute.platform.discovery_watch import MAX_DELIVERY_DELAY_NS
 from swiftchute.platform.endpoint_list import EndpointList, ListUpdate
 from swiftchute.platform.errors import DiscoveryError, SettingsError
 from swiftchute.platform.round_schedule import RoundSchedule
 from swiftchute.platform.session_manager import SessionManager
 from swiftchute.platform.settings import Configuration
 from swiftchute.platform.signals import StartupSignals
-from swiftchute.platform.start_times import StartTimes
 from swiftchute.platform.transports import ClientTransport, DiscoveryTransport
 from swiftchute.policy import Reconciler
 
@@ -69,7 +70,7 @@
         self.runner = PolicyRunner(configuration.settings, configuration.seed, Reconciler, self.clock())
         self.sessions = SessionManager(self.runner, self._usable_sockets())
         self.discovery = DiscoveryClient(self.endpoint_list, random.Random(configuration.seed))
-        self._start_times = StartTimes()
+        self._start_times = StartTimes(MAX_DELIVERY_DELAY_NS)
         self.clients: set[ClientTransport] = set()
         self._schedule = RoundSchedule()
         self._requested_round: asyncio.TimerHandle | None = None
--- a/tests/platform/test_start_times.py
+++ b/tests/platform/test_start_times.py
@@ -6,9 +6,9 @@
 import pytest
 
 from swiftchute.api.endpoints import EndpointRecord
-from swiftchute.platform import start_times
+from swiftchute.discovery import start_times
+from swiftchute.discovery.start_times import StartTimes
 from swiftchute.platform.discovery_watch import MAX_DELIVERY_DELAY_NS
-from swiftchute.platform.start_times import StartTimes
 from tests.support.platform import MEMBERS, Client, Discovery, PlatformProcess, wire_settings
 
 S = 1_000_000_000
@@ -33,16 +33,16 @@
     ],
 )
 def test_what_is_learnt_live_is_at_most_as_old_as_its_news_and_never_of_the_future(listed, expected):
-    assert started(StartTimes(), listed) == expected
+    assert started(StartTimes(MAX_DELIVERY_DELAY_NS), listed) == expected
 
 
 def test_of_the_first_list_the_wall_clock_alone_tells():
-    assert started(StartTimes(), NOW - HOUR, heard=None) == NOW - HOUR
-    assert started(StartTimes(), NOW + HOUR, heard=None) == NOW
+    assert started(StartTimes(MAX_DELIVERY_DELAY_NS), NOW - HOUR, heard=None) == NOW - HOUR
+    assert started(StartTimes(MAX_DELIVERY_DELAY_NS), NOW + HOUR, heard=None) == NOW
 
 
 def test_a_start_that_is_known_stays_until_the_endpoint_restarts():
-    times = StartTimes()
+    times = StartTimes(MAX_DELIVERY_DELAY_NS)
     first = started(times, NOW + HOUR)
     assert started(times, NOW + HOUR, now=NOW + 60 * S, heard=NOW + 59 * S) == first
     assert started(times, NOW + HOUR + 1, now=NOW + 60 * S, heard=NOW + 59 * S) == NOW + 60 * S
@@ -50,7 +50,7 @@
 
 def test_remembered_starts_are_bounded(monkeypatch):
     monkeypatch.setattr(start_times, "MAX_REMEMBERED_STARTS", 3)
-    times = StartTimes()
+    times = StartTimes(MAX_DELIVERY_DELAY_NS)
     for k in range(5):
         started(times, NOW, name=f"s{k}")
     assert len(times._starts) == 3
