An incarnation of serve is a random number, not the wall clock

What callers could see: after a step back of the wall clock a restarted process may use the versions and nonces of an earlier one again, so that an ADS client's answer to the old process counts for the new.

Cause: the incarnation was the wall clock in ms. All it has to promise is that it differs from earlier ones; nothing orders it.

Fix: 48 random bits.

tests/daemon/test_service.py: three services under a wall clock that stands still had one incarnation before, and have three now.

--- a/swiftchute/daemon/service.py
+++ b/swiftchute/daemon/service.py
@@ -1,6 +1,7 @@
 """A control plane instance as a process: the controller, the endpoint list's source and the servers."""
 
 import asyncio
+import secrets
 import signal
 import time
 from collections.abc import Callable, Mapping
@@ -32,6 +33,7 @@
 NS_PER_S = 1_000_000_000
 MIN_ROUND_INTERVAL_NS = 1_000_000
 DROP_REPORT_INTERVAL_NS = 10 * NS_PER_S
+INCARNATION_BITS = 48  # random: no incarnation repeats the versions and nonces of another, whatever the clock
 MAX_LIST_DELAY_NS = 6 * NS_PER_S  # until a list tells of a start
 MAX_LOGGED_ENTRIES = 16  # skipped entries of one endpoint list that are logged
 WARNING_EVENTS = frozenset(
@@ -101,7 +103,7 @@
             self.controller,
             config.settings,
             FrontendOptions(
-                incarnation=int(time.time() * 1000),
+                incarnation=secrets.randbits(INCARNATION_BITS),
                 ack_timeout_ns=config.xds["ack_within"],
                 default_request_rate=config.xds["proxy_rate"],
                 max_streams=config.xds["streams"],
--- a/tests/daemon/test_service.py
+++ b/tests/daemon/test_service.py
@@ -42,3 +42,10 @@
     age_s = (service.clock() - started_ns) / NS_PER_S
     max_age_s = (MAX_LIST_DELAY_NS + service.config.list["every"]) / NS_PER_S
     assert 0 <= age_s < (1 if step_s <= 0 else max_age_s + 1)
+
+
+def test_incarnations_differ_when_the_wall_clock_stands_still(monkeypatch):
+    monkeypatch.setattr(time, "time", lambda: 1_700_000_000.0)
+    config = load("examples/planner.hcl")
+    services = [Service(config, structlog.get_logger()) for _ in range(3)]
+    assert len({service.xds_frontend._options.incarnation for service in services}) == 3
