A socket that cannot be opened for a moment at the start is opened later

What callers could see: a process that logs 'serving' and listens nowhere, if socket() fails once at its start (ENFILE, ENOBUFS, ENOMEM, EMFILE): a failed start.

Cause: the event loop's create_server takes such an error for an address family that is not there and passes over it, and so ends with a server without sockets.

Fix: the server opens the socket itself; errors that may be over in a moment are tried again for 3 s, with a log line each.

tests/platform/test_server.py, five errors: with ENOBUFS it failed before after 20 s without an attempt; all pass now.

--- a/swiftchute/platform/connection_limits.py
+++ b/swiftchute/platform/connection_limits.py
@@ -1,5 +1,12 @@
 """Limits and intervals that the server applies to its sockets and timers. No I/O."""
 
+import errno
+
+# Errors of socket, bind and listen that may be over in a moment, and the waits before the next attempts.
+TRANSIENT_LISTEN_ERRORS = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EINTR}
+)
+LISTEN_RETRY_WAITS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.5)
 LISTEN_BACKLOG = 1024  # connections that the system holds until they are accepted
 CHECK_INTERVAL_S = 0.1  # between two checks of timeouts
 STATISTICS_INTERVAL_S = 10.0  # between two log lines with what was counted
--- a/swiftchute/platform/server.py
+++ b/swiftchute/platform/server.py
@@ -10,6 +10,7 @@
 import random
 import resource
 import signal
+import socket
 import time
 from collections.abc import Callable, Mapping
 
@@ -123,15 +124,34 @@
 
     async def _listen(self) -> asyncio.Server:
         host, port = self.configuration.listen
-        try:
-            listener = await self.event_loop.create_server(
-                lambda: ClientTransport(self), host, port, backlog=connection_limits.LISTEN_BACKLOG
-            )
-        except OSError as error:
-            raise SettingsError(f"listen: {host}:{port}: {error}") from None
+        listener = await self.event_loop.create_server(
+            lambda: ClientTransport(self),
+            sock=await self._open_listening_socket(),
+            backlog=connection_limits.LISTEN_BACKLOG,
+        )
         self.log("serving", address=f"{host}:{port}", endpoints=len(self.endpoint_list.endpoints))
         return listener
 
+    async def _open_listening_socket(self) -> socket.socket:
+        """Open the socket here: the event loop would pass over an error and serve without any."""
+        host, port = self.configuration.listen
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        waits_s = iter(connection_limits.LISTEN_RETRY_WAITS_S)
+        while True:
+            try:
+                listening = socket.create_server(
+                    (host, port), family=family, backlog=connection_limits.LISTEN_BACKLOG
+                )
+            except OSError as error:
+                wait_s = next(waits_s, None)
+                if wait_s is None or error.errno not in connection_limits.TRANSIENT_LISTEN_ERRORS:
+                    raise SettingsError(f"listen: {host}:{port}: {error}") from None
+                self.log("listen failed", address=f"{host}:{port}", cause=str(error), retry_after_s=wait_s)
+                await asyncio.sleep(wait_s)
+            else:
+                listening.setblocking(False)
+                return listening
+
     async def _stop(self, listener: asyncio.Server) -> None:
         """Close all connections: a message that was begun is written as far as its client reads."""
         self._all_closed = asyncio.Event()
--- a/tests/platform/test_server.py
+++ b/tests/platform/test_server.py
@@ -160,3 +160,33 @@
     assert (
         loaded & {"grpclib", "google", "httpx", "hcl2", "dns", "structlog", "click", "numpy", "h2"} == set()
     )
+
+
+SOCKETS_FAIL = """
+import errno, socket
+class Failing(socket.socket):
+    left = {times}
+    def __init__(self, family=-1, type=-1, proto=-1, fileno=None):
+        if fileno is None and type != -1 and Failing.left:
+            Failing.left -= 1
+            raise OSError(errno.{error}, "injected")
+        super().__init__(family, type, proto, fileno)
+socket.socket = Failing
+"""
+
+
+@pytest.mark.parametrize("error", ["ENOBUFS", "ENFILE", "EMFILE", "ENOMEM", "EADDRNOTAVAIL"])
+def test_a_socket_that_cannot_be_opened_for_a_moment_at_the_start_is_opened_later(tmp_path, error):
+    async def scenario():
+        discovery = await Discovery().start()
+        prelude = f"exec({SOCKETS_FAIL.format(times=4, error=error)!r})"
+        process = PlatformProcess(tmp_path, discovery.address, prelude=prelude)
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                assert (await process.event("listen failed"))["retry_after_s"] > 0
+                await process.event("serving")
+            await (await Client().open_proxy(process.port, 0)).receive_table()
+        finally:
+            assert await process.stop() == 0
+
+    asyncio.run(scenario())
