--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -1,6 +1,7 @@
 """Imports go down only and form no circle, as docs/architecture.md says."""
 
 import ast
+import re
 from graphlib import TopologicalSorter
 from pathlib import Path
 
@@ -57,3 +58,14 @@
         and LAYERS.index(package(imported)) > LAYERS.index(package(module))
     ]  # fmt: skip
     assert upward == []
+
+
+def test_wall_time_is_read_only_where_the_page_on_clocks_says_so():
+    page = (ROOT / "docs" / "design" / "time.md").read_text()
+    readers = [
+        path.relative_to(ROOT / "swiftchute").as_posix()
+        for path in (ROOT / "swiftchute").rglob("*.py")
+        if re.search(r"\btime\.time(_ns)?\(|\bdatetime\.(now|utcnow|today)\b", path.read_text())
+    ]
+    assert len(readers) > 3
+    assert [reader for reader in readers if reader not in page] == []
