A message's overhead of part of an entry counts as a whole one in the ledger

Read, not seen: int() rounded per_message down, so with 10.5 the ledger counted less than the channel. Settings with whole numbers are unaffected.

--- a/swiftchute/platform/egress_ledger.py
+++ b/swiftchute/platform/egress_ledger.py
@@ -50,7 +50,7 @@
     def __init__(self, settings: Settings) -> None:
         """Start with an empty channel."""
         self._limit_entries = int(settings.egress_queue_limit_entries)
-        self._overhead_entries = int(settings.message_overhead_entries)
+        self._overhead_entries = math.ceil(settings.message_overhead_entries)
         self._slowest_rate_per_s = MIN_CHANNEL_SPEED_RATIO * settings.egress_rate_entries_per_s
         self._round_number = 0
         self._round_started_ns = 0
