The weights test of grpcio's client counts the calls of a client that has ended

Cause: the client is a process of its own that makes 100,000 calls; when its 4,000th line is read, its next call may have reached a worker. The test counted at that moment.

Change: the calls that are counted are those of a client that makes 4,000 and ends; a second client, known to be served, plays the rest. Every assertion and bound stays, and the count is exact now.

--- a/tests/xds/test_server.py
+++ b/tests/xds/test_server.py
@@ -265,8 +265,7 @@
         Shaped.level = 1.0
         place.publish()
         address = await place.start(0, Shaped)
-        calls = plain(address, 100_000, 0.0)
-        ends = [(await anext(calls))[1] for _ in range(4000)]
+        ends = [end async for _, end in plain(address, 4000, 0.0)]
         assert Counter(ends) == {"ok": 4000}
         # a call leaves two receipts, at its arrival and at its start: only independent draws may be counted
         seen = [sum(r.event is BackendEvent.STARTED for r in w.receipts) for w in place.workers]
@@ -274,6 +273,8 @@
         expected = [sum(seen) * w / 8 for w in (4, 2, 1, 1)]
         assert chisquare(seen, expected).pvalue > 1e-4, (seen, expected)
 
+        calls = plain(address, 100_000, 0.0)
+        assert (await anext(calls))[1] == "ok"
         drained, dying = place.workers[1], place.workers[2]
         place.states[drained.address] = "draining"
         place.publish()
