An assigned proxy holds all tables of its subset, also those that are empty

What callers saw: a zone is lost for 5 s.

Cause: `_assign` left out the tables that held no endpoint at that moment and then marked the proxy as assigned. Nothing assigns a left-out table later, and changes of a table go only to the proxies that were assigned to it.

Evidence, on the code before: after the endpoints came back the policy wrote their weights to the zone-local table (so it is not slow start, the budget or the push), but its commands assign only table 3 of 3 and 4 to the proxy, in 30 s. The three new tests fail: the table is never assigned to a proxy that connects while it is empty; a proxy that comes from another instance keeps entries whose endpoints all drain, as it is neither ejected for (it has a table) nor reached by the empty one; a proxy may migrate to a subset whose zone-local table is empty.

Why this works: an assigned proxy is in the audience of all its tables, so that each later push reaches it. An empty table is the right content while the list shows no endpoint that the operation may use. A subset without any endpoint is still not assigned, and a migrating proxy waits until all tables of its new subset have some.

--- a/swiftchute/policy/assignment.py
+++ b/swiftchute/policy/assignment.py
@@ -3,7 +3,7 @@
 from swiftchute.api.events import ProxyId
 from swiftchute.policy.egress_budget import DRAIN_NOTICE_THRESHOLD, PUSH_THRESHOLD, EgressBudget
 from swiftchute.policy.load_stats import request_rate
-from swiftchute.policy.model import ADMISSION_KEY
+from swiftchute.policy.model import EndpointTable
 from swiftchute.policy.state import PolicyState
 from swiftchute.policy.subsetting import SubsetLoad, subset_loads
 
@@ -29,11 +29,15 @@
 def _assign(
     state: PolicyState, budget: EgressBudget, name: ProxyId, loads: list[SubsetLoad], threshold: float
 ) -> None:
-    """Assign a proxy to the least loaded subset if its tables have endpoints and the budget allows it."""
+    """Assign a proxy to all tables of the least loaded subset if they are usable and the budget allows it.
+
+    An empty table is assigned too: the proxy stops using entries of another instance, whose endpoints are not
+    ready, and receives whatever is pushed to the table later.
+    """
     proxy = state.proxies[name]
     subset = min(range(len(loads)), key=lambda index: loads[index].rate_per_weight)
-    tables = [t for t in state.tables[proxy.zone, subset] if t.published.keys() - {ADMISSION_KEY}]
-    if not tables:
+    tables = state.tables[proxy.zone, subset]
+    if not _are_usable(tables, migrating=proxy.subset is not None):
         return
     if not budget.reserve(state, [name], sum(1 + len(table.published) for table in tables), threshold):
         return
@@ -41,3 +45,9 @@
         state.commands.assign_table(name, table.number, table.operation_mask)
     proxy.subset, proxy.unassigned = subset, False
     loads[subset].request_rate += request_rate(proxy)
+
+
+def _are_usable(tables: list[EndpointTable], migrating: bool) -> bool:
+    """Return whether any table has endpoints, or whether all have for a proxy that would give up others."""
+    have_endpoints = [table.has_endpoints for table in tables]
+    return all(have_endpoints) if migrating else any(have_endpoints)
--- a/swiftchute/policy/model.py
+++ b/swiftchute/policy/model.py
@@ -178,6 +178,11 @@
         self.retry_policy = retry_policy
         self.admission_history: deque[AdmissionSample] = deque(maxlen=REPORT_LAG_EVALUATIONS)
 
+    @property
+    def has_endpoints(self) -> bool:
+        """Whether the published table has an entry of an endpoint."""
+        return bool(self.published.keys() - {ADMISSION_KEY})
+
 
 class ZonePair:
     """Spillover from the proxies of one zone to the endpoints of another.
--- a/tests/policy/test_assignment.py
+++ b/tests/policy/test_assignment.py
@@ -3,6 +3,7 @@
 from swiftchute.api.endpoints import ListScope
 from swiftchute.api.events import EndpointListUpdate, ProxyConnected
 from tests.support.policy import SlowChannel, list_changes, weights_in
+from tests.support.settings import operation
 
 
 def test_busiest_proxies_are_assigned_first(make_harness):
@@ -63,3 +64,52 @@
     assert max(len(proxies) for proxies in waiting) > 20
     assert not waiting[-1]
     assert max(assigned.values()) * 0.05 < 12  # in seconds: the channel itself needs this for 190 tables
+
+
+READ_AND_LOCAL_WRITE = (operation("read"), operation("write", zone_local=True))
+WEST = tuple(f"w{k}" for k in range(4))
+
+
+def tables_assigned(commands, proxy):
+    """Return the numbers of the tables that commands assign to a proxy."""
+    return {number for name, number, _ in commands.of("assign_table") if name == proxy}
+
+
+def test_proxy_of_a_zone_without_endpoints_gets_its_zone_local_table_later(make_harness):
+    """Guards against a proxy that is never assigned a table which was empty when it connected."""
+    harness = make_harness(operations=READ_AND_LOCAL_WRITE)
+    harness.start(proxies=("east", "west"))
+    harness.run(2)
+    harness.run_round(list_changes([harness.endpoint(name, "west", "gone") for name in WEST]))
+    commands = harness.run_round(ProxyConnected(20, "west", 10.0, True), wait_s=0.1)
+    commands.all += harness.run(2).all
+    returned = [harness.endpoint(name, "west", age_s=1) for name in WEST]
+    commands.all += harness.run_round(list_changes(returned)).all + harness.run(3).all
+    local_table = harness.table("west", zone_local=True)
+    assert local_table.number in tables_assigned(commands, 20)
+    assert weights_in(commands, local_table).keys() >= set(WEST)
+
+
+def test_assignment_of_an_empty_zone_local_table_announces_the_drains_of_its_zone(make_harness):
+    """Guards against a proxy that keeps entries of another instance whose endpoints all drain."""
+    harness = make_harness(operations=READ_AND_LOCAL_WRITE)
+    harness.start(proxies=("east", "west"))
+    harness.run(2)
+    harness.run_round(list_changes([harness.endpoint(name, "west", "draining") for name in WEST]))
+    commands = harness.run_round(ProxyConnected(20, "west", 10.0, False), wait_s=0.1)
+    assert harness.table("west", zone_local=True).number in tables_assigned(commands, 20)
+
+
+def test_proxy_keeps_its_tables_while_a_table_of_its_new_subset_is_empty(make_harness):
+    """Guards against a migration that leaves a proxy without an endpoint for an operation."""
+    harness = make_harness(operations=READ_AND_LOCAL_WRITE, subset_size=2)
+    harness.start(proxies=("east",) * 4)
+    harness.run(2)
+    for proxy in harness.state.proxies.values():
+        proxy.subset = 0
+    harness.state.proxies[0].unassigned = True
+    local_table = next(table for table in harness.state.tables["east", 1] if table.zone_local)
+    published, local_table.published = local_table.published, {}
+    assert not tables_assigned(harness.run_round(wait_s=0.05), 0)
+    local_table.published = published
+    assert local_table.number in tables_assigned(harness.run_round(wait_s=0.05), 0)
