Connections of the platform's tests end with their event loop

Cause: tests of the platform leave connections open when `asyncio.run` ends. The garbage collector finalizes their `StreamWriter`s later, in the middle of another test. `StreamWriter.__del__` raises "Event loop is closed", its traceback is formatted, and for that Python 3.11 calls `ast.parse` inside of the `ast.parse` of test_imports_form_no_cycle (the warning of that test shows both).

Change: a task per connection aborts it when the loop cancels its tasks. No check changed.

--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -54,11 +54,27 @@
     } | changes  # fmt: skip
 
 
+def abort_with_loop(writer):
+    """Return a task that aborts a connection when `asyncio.run` ends, as it then cancels all tasks.
+
+    A writer that outlives its loop raises in its finalizer, in the middle of whatever runs at that time.
+    """
+
+    async def wait():
+        try:
+            await asyncio.Event().wait()
+        finally:
+            writer.transport.abort()
+
+    return asyncio.create_task(wait())
+
+
 class Discovery:
     """A fake of the machine's discovery agent: `send` writes a line to every open watch."""
 
     def __init__(self):
         self.targets, self.writers, self.came = [], [], asyncio.Event()
+        self.endings = []
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -70,6 +86,7 @@
         self.targets.append(head.split(b" ")[1].decode())
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
         self.writers.append(writer)
+        self.endings.append(abort_with_loop(writer))
         self.came.set()
 
     def send(self, revision, *members):
@@ -92,10 +109,11 @@
 
 
 class Client:
-    """A client connection to the platform process."""
+    """A client connection to the platform process; it ends with the test's event loop."""
 
     async def open(self, port, *messages):
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
+        self.ending = abort_with_loop(self.writer)
         self.send(*messages)
         return self
 
