Push the subset first whose change has waited longest, and urgent changes of all first

Cause: `publish_tables` served the subsets in the order of their creation from one budget. On a slow channel the budget opens for one or two pushes at a time, each new drain concerns the first zones too (their tables hold endpoints of other zones), and so theirs are pushed again before the last zone's first. Ordinary pushes of a subset also came before urgent ones of the next.

Evidence: in the trace a proxy of the first zone gets one message per drain (11 in the 12 s to 24 s), one of the last zone gets four, then none from 22.3 to 36.4 s, then 23 removals in one. It is not the capacity: a message to each of the 75 proxies takes 1.6 s of the slow channel. It is not the depth of the queue either: the first zone's delays stay under 4.5 s.

Change: first urgent changes, then due ones, each in the order in which they have waited. A subset that was just pushed comes after all that wait.

--- a/swiftchute/policy/desired_tables.py
+++ b/swiftchute/policy/desired_tables.py
@@ -107,15 +107,15 @@
     before = table.desired
     table.desired = {name: weight for name, weight in before.items() if name in entries}
     # checks published entries, as one may already wait for its removal when its endpoint begins to drain
-    table.urgent |= any(
-        not state.endpoints[name].is_ready for name in table.published.keys() - entries.keys()
-    )
+    urgent = any(not state.endpoints[name].is_ready for name in table.published.keys() - entries.keys())
     for name, weight in entries.items():
         old = table.desired.get(name)
         min_change = MIN_ADMISSION_CHANGE if name == ADMISSION_KEY else MIN_WEIGHT_CHANGE
         if old is None or abs(weight - old) > min_change * abs(old):
-            table.urgent |= is_urgent_drop(name, weight, table.published)
+            urgent |= is_urgent_drop(name, weight, table.published)
             table.desired[name] = round(weight, WEIGHT_DIGITS) or MIN_WEIGHT
+    if urgent and table.urgent_since_ns is None:
+        table.urgent_since_ns = state.now_ns
     if table.desired != before:
         if table.first_change_ns is None:
             table.first_change_ns = state.now_ns
--- a/swiftchute/policy/publishing.py
+++ b/swiftchute/policy/publishing.py
@@ -1,5 +1,7 @@
 """Publishing: decides when the changed entries of a table are pushed to the proxies that use it."""
 
+from typing import NamedTuple
+
 from swiftchute.api.events import ProxyId
 from swiftchute.policy.egress_budget import (
     PUSH_QUOTA_FRACTION,
@@ -20,21 +22,49 @@
 Entries = dict[str, float]
 
 
+class _ChangedSubset(NamedTuple):
+    """The changed tables of a subset, and the proxies that use them: one message carries all changes."""
+
+    tables: list[EndpointTable]
+    proxies: list[ProxyId]
+
+    @property
+    def urgent_since_ns(self) -> int | None:
+        """When the first urgent change was made, None without any."""
+        return min((t.urgent_since_ns for t in self.tables if t.urgent_since_ns is not None), default=None)
+
+    @property
+    def changed_since_ns(self) -> int:
+        """When the first change was made."""
+        return min(t.first_change_ns for t in self.tables if t.first_change_ns is not None)
+
+
 def publish_tables(state: PolicyState, budget: EgressBudget) -> None:
-    """Push the changes of all tables that are due.
+    """Push the changes of all tables that are due, urgent ones first.
 
-    The tables of a subset go to the same proxies, so one message carries the changes of both.
+    The subset whose change has waited longest comes first. In a fixed order, the first subsets would fill a
+    slow channel with each new change, and the last would hear of none as long as there are new ones.
     """
-    for (zone, subset), tables in state.tables.items():
+    subsets = _changed_subsets(state)
+    urgent = [subset for subset in subsets if subset.urgent_since_ns is not None]
+    urgent.sort(key=lambda subset: subset.urgent_since_ns or 0)
+    due = [subset for subset in subsets if not subset.proxies or _any_due(state, subset.tables)]
+    due.sort(key=lambda subset: subset.changed_since_ns)
+    for subset in urgent:
+        _push_urgent(state, budget, subset)
+    for subset in due:
+        _push_all(state, budget, subset)
+
+
+def _changed_subsets(state: PolicyState) -> list[_ChangedSubset]:
+    """Return the subsets with changed tables."""
+    subsets = []
+    for (zone, index), tables in state.tables.items():
         changed = [table for table in tables if table.first_change_ns is not None]
-        if not changed:
-            continue
-        proxies = [name for name, p in state.proxies.items() if (p.zone, p.subset) == (zone, subset)]
-        due = any(_is_due(state, table) for table in changed)
-        if any(table.urgent for table in changed):
-            _push_urgent(state, budget, changed, proxies)
-        if due or not proxies:
-            _push_all(state, budget, changed, proxies)
+        if changed:
+            proxies = [name for name, p in state.proxies.items() if (p.zone, p.subset) == (zone, index)]
+            subsets.append(_ChangedSubset(changed, proxies))
+    return subsets
 
 
 def is_urgent_drop(name: str, weight: float, published: Entries) -> bool:
@@ -42,6 +72,10 @@
     return name != ADMISSION_KEY and weight < URGENT_DROP_FRACTION * published.get(name, 0)
 
 
+def _any_due(state: PolicyState, tables: list[EndpointTable]) -> bool:
+    return any(_is_due(state, table) for table in tables)
+
+
 def _is_due(state: PolicyState, table: EndpointTable) -> bool:
     """Return whether the push interval and the debounce of a changed table have passed."""
     now_ns = state.now_ns
@@ -51,27 +85,23 @@
     return quiet or (table.first_change_ns is not None and now_ns - table.first_change_ns >= MAX_DEBOUNCE_NS)
 
 
-def _push_urgent(
-    state: PolicyState, budget: EgressBudget, tables: list[EndpointTable], proxies: list[ProxyId]
-) -> None:
-    """Push the urgent entries of the tables without waiting for the debounce."""
-    changes = [_urgent_changes(table) for table in tables]
+def _push_urgent(state: PolicyState, budget: EgressBudget, subset: _ChangedSubset) -> None:
+    """Push the urgent entries of a subset's tables without waiting for the debounce."""
+    changes = [_urgent_changes(table) for table in subset.tables]
     count = sum(map(len, changes))
-    if count and not budget.reserve(state, proxies, count, URGENT_THRESHOLD):
+    if count and not budget.reserve(state, subset.proxies, count, URGENT_THRESHOLD):
         return
-    for table, entries in zip(tables, changes, strict=True):
+    for table, entries in zip(subset.tables, changes, strict=True):
         _write_changes(state, table, entries)
 
 
-def _push_all(
-    state: PolicyState, budget: EgressBudget, tables: list[EndpointTable], proxies: list[ProxyId]
-) -> None:
-    """Push all changed entries of the tables and end their debounce."""
-    changes = [_changes(table) for table in tables]
+def _push_all(state: PolicyState, budget: EgressBudget, subset: _ChangedSubset) -> None:
+    """Push all changed entries of a subset's tables and end their debounce."""
+    changes = [_changes(table) for table in subset.tables]
     count = sum(map(len, changes))
-    if count and not budget.reserve(state, proxies, count, PUSH_THRESHOLD, PUSH_QUOTA_FRACTION):
+    if count and not budget.reserve(state, subset.proxies, count, PUSH_THRESHOLD, PUSH_QUOTA_FRACTION):
         return
-    for table, entries in zip(tables, changes, strict=True):
+    for table, entries in zip(subset.tables, changes, strict=True):
         _write_changes(state, table, entries)
         table.first_change_ns = None
         table.pushed_at_ns = state.now_ns
@@ -104,7 +134,7 @@
             state.commands.set_weight(table.number, name, weight)
     merged = table.published | entries
     table.published = {name: weight for name, weight in merged.items() if weight}
-    table.urgent = False
+    table.urgent_since_ns = None
 
 
 def _write_admission(state: PolicyState, table: EndpointTable, entry: float) -> None:
--- a/tests/support/policy.py
+++ b/tests/support/policy.py
@@ -107,6 +107,7 @@
     def __init__(self, harness, entries_per_s):
         self.harness, self.entries_per_s = harness, entries_per_s
         self.queue = []  # proxy, nonce, entries and send time of the queued messages
+        self.delivered_ns = {}  # time at which each message left the channel, by proxy and nonce
         self.seen = set()  # proxy and nonce of every message so far
         self.capacity_entries = 0.0
 
@@ -118,6 +119,7 @@
             proxy, nonce, entries, sent_ns = self.queue.pop(0)
             self.capacity_entries -= entries
             latency_ns = self.harness.now - sent_ns + int(wait_s * NS_PER_S)
+            self.delivered_ns[proxy, nonce] = sent_ns + latency_ns
             acknowledgements.append(PushAcknowledged(proxy, nonce, latency_ns))
         self.capacity_entries = min(self.capacity_entries, self.entries_per_s) if self.queue else 0.0
         commands = self.harness.run_round(*acknowledgements, *events, wait_s=wait_s)
