An urgent push that waits for the channel is not overtaken by smaller ones

What callers would see: in a release of all zones, the zone with most proxies hears of no drain until the release ends.

Cause: a push goes out if the queue has room for all its entries. Pushes to few proxies fit into what is left, and while they come often enough the queue never has room for one to many proxies.

Change: `reserve` says why it refuses. If the channel is full, publishing ends for this round, so that the queue empties for the push that comes first. It does not wait in vain: not for a push that the empty channel could not take either, and not if nothing was acknowledged for a second, as what is left then belongs to silent proxies.

Two more tests guard the exceptions.

--- a/swiftchute/policy/assignment.py
+++ b/swiftchute/policy/assignment.py
@@ -1,7 +1,12 @@
 """Assignment of proxies to the tables of a subset."""
 
 from swiftchute.api.events import ProxyId
-from swiftchute.policy.egress_budget import DRAIN_NOTICE_THRESHOLD, PUSH_THRESHOLD, EgressBudget
+from swiftchute.policy.egress_budget import (
+    DRAIN_NOTICE_THRESHOLD,
+    PUSH_THRESHOLD,
+    EgressBudget,
+    Reservation,
+)
 from swiftchute.policy.load_stats import request_rate
 from swiftchute.policy.model import EndpointTable
 from swiftchute.policy.state import PolicyState
@@ -39,7 +44,8 @@
     tables = state.tables[proxy.zone, subset]
     if not _are_usable(tables, migrating=proxy.subset is not None):
         return
-    if not budget.reserve(state, [name], sum(1 + len(table.published) for table in tables), threshold):
+    entries = sum(1 + len(table.published) for table in tables)
+    if budget.reserve(state, [name], entries, threshold) is not Reservation.GRANTED:
         return
     for table in tables:
         state.commands.assign_table(name, table.number, table.operation_mask)
--- a/swiftchute/policy/egress_budget.py
+++ b/swiftchute/policy/egress_budget.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable
+from enum import Enum, auto
 
 from swiftchute.api.events import EgressQueueObserved, ProxyId, PushAcknowledged
 from swiftchute.policy.conditions import report_condition
@@ -24,11 +25,23 @@
 MIN_CHANNEL_SPEED_RATIO = 0.15  # lower bound of the estimated speed / nominal speed
 SLOW_CHANNEL_RATIO = 0.5  # speed / nominal speed below which a slow channel is reported to the operators
 SPEED_RECOVERY_FACTOR = 2  # growth of the estimated speed per evaluation without evidence
+STALL_NS = (
+    1 * NS_PER_S
+)  # without an acknowledgement, after which those that are missing come from silent proxies
 MAX_TRACKED_NONCES = 2000  # nonces for which the queue length is remembered
 MAX_NONCE = 60_000  # the next nonce after it is 1
 ACK_REQUEST_ENTRIES = 1  # size of an acknowledgement request within a message
 
 
+class Reservation(Enum):
+    """Result of a request for capacity."""
+
+    GRANTED = auto()
+    CHANNEL_FULL = auto()
+    TOO_LARGE = auto()  # does not fit into the empty channel either
+    QUOTA_USED_UP = auto()  # the message quota of one of the proxies
+
+
 class EgressBudget:
     """Tracks the entries reserved in this round and those not yet acknowledged by the proxies.
 
@@ -48,6 +61,9 @@
         self._additional_entries: float = 0  # observed in the channel beyond `unacknowledged_entries`
         self._max_observed_ratio = 0.0  # highest speed / nominal speed since the last evaluation
         self._queued_entries_at_nonce: dict[int, float] = {}
+        self._moved_at_ns = (
+            0  # last time when entries left the channel or were written into the empty channel
+        )
 
     @property
     def queued_entries(self) -> float:
@@ -72,6 +88,7 @@
         pending = proxy.unacknowledged_entries
         while event.nonce in pending:
             self.unacknowledged_entries -= pending.pop(next(iter(pending)))
+        self._moved_at_ns = state.now_ns
 
     def on_egress_queue_observed(self, event: EgressQueueObserved) -> None:
         """Record how many entries the channel holds beyond the unacknowledged ones."""
@@ -96,8 +113,8 @@
         entries: int,
         threshold: float = URGENT_THRESHOLD,
         quota_fraction: float = 1.0,
-    ) -> bool:
-        """Reserve capacity for a number of entries to each of the proxies.
+    ) -> Reservation:
+        """Reserve capacity for a number of entries to each of the proxies; nothing unless it is granted.
 
         Args:
             state: State of the policy.
@@ -105,20 +122,26 @@
             entries: Number of entries for each of them.
             threshold: Fraction of the egress queue limit that may be used.
             quota_fraction: Fraction of each proxy's message quota that may be used.
-
-        Returns:
-            False, with nothing reserved, if the channel or the message quota of a proxy lacks capacity.
         """
         overhead = state.settings.message_overhead_entries + ACK_REQUEST_ENTRIES
         costs = {p: entries + (0 if p in self.reserved_entries else overhead) for p in proxies}
-        if not self._channel_has_capacity(state, sum(costs.values()), threshold):
-            return False
+        total_cost = sum(costs.values())
+        if total_cost > threshold * state.settings.egress_queue_limit_entries:
+            return Reservation.TOO_LARGE
+        if not self._channel_has_capacity(state, total_cost, threshold):
+            return Reservation.CHANNEL_FULL
         if not self._quotas_allow(state, costs, quota_fraction):
-            return False
+            return Reservation.QUOTA_USED_UP
+        if not self.unacknowledged_entries:
+            self._moved_at_ns = state.now_ns
         for proxy, cost in costs.items():
             self.reserved_entries[proxy] = self.reserved_entries.get(proxy, 0) + cost
             self.unacknowledged_entries += cost
-        return True
+        return Reservation.GRANTED
+
+    def is_stalled(self, now_ns: int) -> bool:
+        """Return whether waiting is in vain: only silent proxies seem to have unacknowledged entries."""
+        return now_ns - self._moved_at_ns > STALL_NS
 
     def end_round(self, state: PolicyState) -> None:
         """Request an acknowledgement from each proxy written to in this round."""
--- a/swiftchute/policy/publishing.py
+++ b/swiftchute/policy/publishing.py
@@ -8,6 +8,7 @@
     PUSH_THRESHOLD,
     URGENT_THRESHOLD,
     EgressBudget,
+    Reservation,
 )
 from swiftchute.policy.model import ADMISSION_KEY, EndpointTable
 from swiftchute.policy.state import PolicyState
@@ -43,7 +44,8 @@
     """Push the changes of all tables that are due, urgent ones first.
 
     The subset whose change has waited longest comes first. In a fixed order, the first subsets would fill a
-    slow channel with each new change, and the last would hear of none as long as there are new ones.
+    slow channel with each new change, and the last would hear of none as long as there are new ones. While
+    an urgent push waits for the channel, no other uses the capacity: smaller ones would always fit before.
     """
     subsets = _changed_subsets(state)
     urgent = [subset for subset in subsets if subset.urgent_since_ns is not None]
@@ -51,7 +53,9 @@
     due = [subset for subset in subsets if not subset.proxies or _any_due(state, subset.tables)]
     due.sort(key=lambda subset: subset.changed_since_ns)
     for subset in urgent:
-        _push_urgent(state, budget, subset)
+        reservation = _push_urgent(state, budget, subset)
+        if reservation is Reservation.CHANNEL_FULL and not budget.is_stalled(state.now_ns):
+            return
     for subset in due:
         _push_all(state, budget, subset)
 
@@ -85,22 +89,27 @@
     return quiet or (table.first_change_ns is not None and now_ns - table.first_change_ns >= MAX_DEBOUNCE_NS)
 
 
-def _push_urgent(state: PolicyState, budget: EgressBudget, subset: _ChangedSubset) -> None:
+def _push_urgent(state: PolicyState, budget: EgressBudget, subset: _ChangedSubset) -> Reservation:
     """Push the urgent entries of a subset's tables without waiting for the debounce."""
     changes = [_urgent_changes(table) for table in subset.tables]
     count = sum(map(len, changes))
-    if count and not budget.reserve(state, subset.proxies, count, URGENT_THRESHOLD):
-        return
+    if count:
+        reservation = budget.reserve(state, subset.proxies, count, URGENT_THRESHOLD)
+        if reservation is not Reservation.GRANTED:
+            return reservation
     for table, entries in zip(subset.tables, changes, strict=True):
         _write_changes(state, table, entries)
+    return Reservation.GRANTED
 
 
 def _push_all(state: PolicyState, budget: EgressBudget, subset: _ChangedSubset) -> None:
     """Push all changed entries of a subset's tables and end their debounce."""
     changes = [_changes(table) for table in subset.tables]
     count = sum(map(len, changes))
-    if count and not budget.reserve(state, subset.proxies, count, PUSH_THRESHOLD, PUSH_QUOTA_FRACTION):
-        return
+    if count:
+        reservation = budget.reserve(state, subset.proxies, count, PUSH_THRESHOLD, PUSH_QUOTA_FRACTION)
+        if reservation is not Reservation.GRANTED:
+            return
     for table, entries in zip(subset.tables, changes, strict=True):
         _write_changes(state, table, entries)
         table.first_change_ns = None
--- a/tests/policy/test_push_order.py
+++ b/tests/policy/test_push_order.py
@@ -1,5 +1,7 @@
 """Which pushes come first when the channel cannot send all of them at once."""
 
+from swiftchute.policy.units import NS_PER_S
+from tests.support.policy import list_changes, weights_in
 from tests.support.rolling_deploy import RollingDeploy
 from tests.support.settings import DEFAULTS
 
@@ -21,3 +23,51 @@
     deploy.channel.entries_per_s /= SLOWDOWN
     deploy.run(42, drain_interval_s=0.83)
     assert max(deploy.delays_s.values()) < GRACE_S * SLOWDOWN, deploy.delays_s
+
+
+def test_push_to_many_proxies_is_not_overtaken_by_pushes_to_few(make_harness):
+    """Guards against a large zone whose push never fits, as smaller ones use up the capacity before."""
+    grace_s = 3.1
+    harness = make_harness(
+        zones=("a", "b", "c"),
+        zone="a",
+        drain_grace_ns=int(grace_s * NS_PER_S),
+        egress_rate_entries_per_s=3600.0,
+        egress_queue_limit_entries=3600.0,
+        message_overhead_entries=10.0,
+        message_quota=0,
+    )
+    deploy = RollingDeploy(harness, 40, {"a": 25, "b": 25, "c": 100})
+    deploy.run(26, drain_interval_s=0.1)
+    assert max(deploy.delays_s.values()) < grace_s, deploy.delays_s
+
+
+def drain_one_endpoint_of_each_zone(harness):
+    """Drain an endpoint of east, then one of west, so that the push to east comes first."""
+    commands = harness.run_round(list_changes([harness.endpoint("e0", state="draining")]), wait_s=0.05)
+    west_drain = list_changes([harness.endpoint("w0", "west", "draining")])
+    commands.all += harness.run_round(west_drain, wait_s=0.05).all
+    return commands
+
+
+def test_push_that_never_fits_into_the_channel_delays_no_other(make_harness):
+    """Guards against a head of the line that can never be sent."""
+    harness = make_harness(egress_queue_limit_entries=100.0)
+    harness.start(proxies=("east",) * 20 + ("west",))
+    harness.run(10)
+    commands = drain_one_endpoint_of_each_zone(harness)
+    assert weights_in(commands, harness.table()) == {}
+    assert weights_in(commands, harness.table("west"))["w0"] == 0
+
+
+def test_push_that_waits_for_silent_proxies_does_not_delay_others_for_long(make_harness):
+    """Guards against proxies that wait behind a push which does not fit because others are silent."""
+    harness = make_harness(egress_queue_limit_entries=200.0)
+    harness.start(proxies=("east",) * 20 + ("west",))
+    harness.run(10)
+    harness.state.proxies[0].unacknowledged_entries = {9999: 100}
+    harness.budget.unacknowledged_entries = 100
+    commands = drain_one_endpoint_of_each_zone(harness)
+    commands.all += harness.run(1.5, acknowledge=False, step_s=0.1).all
+    assert weights_in(commands, harness.table()) == {}
+    assert weights_in(commands, harness.table("west"))["w0"] == 0
