Proxies without tables and urgent pushes take turns in a full channel

What callers would see: a proxy that connects during a deploy on a slow channel gets no table and hears of no drain until the deploy ends.

Change: while both wait for the channel, each gets as many entries as the other, up to the same part of the queue (`policy/channel_turns.py`). Without contention nothing changes. `reserve` takes the kind of a message and knows the limits of each kind, so what is admitted stands in one place.

--- a/swiftchute/policy/assignment.py
+++ b/swiftchute/policy/assignment.py
@@ -1,12 +1,8 @@
 """Assignment of proxies to the tables of a subset."""
 
 from swiftchute.api.events import ProxyId
-from swiftchute.policy.egress_budget import (
-    DRAIN_NOTICE_THRESHOLD,
-    PUSH_THRESHOLD,
-    EgressBudget,
-    Reservation,
-)
+from swiftchute.policy.channel_turns import PushKind
+from swiftchute.policy.egress_budget import EgressBudget, Reservation
 from swiftchute.policy.load_stats import request_rate
 from swiftchute.policy.model import EndpointTable
 from swiftchute.policy.state import PolicyState
@@ -25,14 +21,15 @@
         return
     loads = {zone: subset_loads(state, zone) for zone in state.subset_counts}
     draining = any(not endpoint.is_ready for endpoint in state.endpoints.values())
+    first_kind = PushKind.DRAIN_NOTICE if draining else PushKind.FIRST_TABLES
     migrating = {name: state.proxies[name].subset is not None for name in waiting}
     for name in sorted(waiting, key=lambda p: (migrating[p], -request_rate(state.proxies[p]), p)):
-        threshold = DRAIN_NOTICE_THRESHOLD if draining and not migrating[name] else PUSH_THRESHOLD
-        _assign(state, budget, name, loads[state.proxies[name].zone], threshold)
+        kind = PushKind.MIGRATION if migrating[name] else first_kind
+        _assign(state, budget, name, loads[state.proxies[name].zone], kind)
 
 
 def _assign(
-    state: PolicyState, budget: EgressBudget, name: ProxyId, loads: list[SubsetLoad], threshold: float
+    state: PolicyState, budget: EgressBudget, name: ProxyId, loads: list[SubsetLoad], kind: PushKind
 ) -> None:
     """Assign a proxy to all tables of the least loaded subset if they are usable and the budget allows it.
 
@@ -45,7 +42,7 @@
     if not _are_usable(tables, migrating=proxy.subset is not None):
         return
     entries = sum(1 + len(table.published) for table in tables)
-    if budget.reserve(state, [name], entries, threshold) is not Reservation.GRANTED:
+    if budget.reserve(state, [name], entries, kind) is not Reservation.GRANTED:
         return
     for table in tables:
         state.commands.assign_table(name, table.number, table.operation_mask)
--- a/swiftchute/policy/draining.py
+++ b/swiftchute/policy/draining.py
@@ -8,8 +8,9 @@
 
 from swiftchute.api.endpoints import EndpointState
 from swiftchute.api.events import ProxyId
+from swiftchute.policy.channel_turns import PushKind
 from swiftchute.policy.conditions import health_condition
-from swiftchute.policy.egress_budget import DRAIN_NOTICE_THRESHOLD, EgressBudget, Reservation
+from swiftchute.policy.egress_budget import EgressBudget, Reservation
 from swiftchute.policy.state import PolicyState
 
 MAX_REMOVED_ENDPOINTS = 200  # kept in memory: proxies of other instances may still hold them
@@ -39,8 +40,8 @@
             if eject == (name in self.ejected) or (eject and not unknown_tables):
                 continue
             proxies = _affected_proxies(state, name)
-            reservation = budget.reserve(state, proxies, EJECTION_ENTRIES, DRAIN_NOTICE_THRESHOLD)
-            if reservation is Reservation.GRANTED:
+            kind = PushKind.DRAIN_NOTICE if eject else PushKind.RESTORATION
+            if budget.reserve(state, proxies, EJECTION_ENTRIES, kind) is Reservation.GRANTED:
                 self._set_ejected(state, name, eject)
             else:
                 unknown_tables = False  # no more ejections this round: each would need as much capacity
--- a/swiftchute/policy/egress_budget.py
+++ b/swiftchute/policy/egress_budget.py
@@ -8,8 +8,10 @@
 
 from collections.abc import Iterable
 from enum import Enum, auto
+from typing import NamedTuple
 
 from swiftchute.api.events import EgressQueueObserved, ProxyId, PushAcknowledged
+from swiftchute.policy.channel_turns import ChannelTurns, PushKind
 from swiftchute.policy.conditions import report_condition
 from swiftchute.policy.model import Proxy
 from swiftchute.policy.state import PolicyState
@@ -25,9 +27,7 @@
 MIN_CHANNEL_SPEED_RATIO = 0.15  # lower bound of the estimated speed / nominal speed
 SLOW_CHANNEL_RATIO = 0.5  # speed / nominal speed below which a slow channel is reported to the operators
 SPEED_RECOVERY_FACTOR = 2  # growth of the estimated speed per evaluation without evidence
-STALL_NS = (
-    1 * NS_PER_S
-)  # without an acknowledgement, after which those that are missing come from silent proxies
+STALL_NS = 1 * NS_PER_S  # after it, missing acknowledgements are those of silent proxies
 MAX_TRACKED_NONCES = 2000  # nonces for which the queue length is remembered
 MAX_NONCE = 60_000  # the next nonce after it is 1
 ACK_REQUEST_ENTRIES = 1  # size of an acknowledgement request within a message
@@ -37,11 +37,28 @@
     """Result of a request for capacity."""
 
     GRANTED = auto()
-    CHANNEL_FULL = auto()
-    TOO_LARGE = auto()  # does not fit into the empty channel either
+    CHANNEL_FULL = auto()  # what becomes free is kept for it
+    NO_ROOM_EXPECTED = auto()  # it is too large, or only silent proxies have unacknowledged entries
     QUOTA_USED_UP = auto()  # the message quota of one of the proxies
 
 
+class _Limits(NamedTuple):
+    """Limits of a kind of message."""
+
+    threshold: float  # fraction of the egress queue limit
+    quota_fraction: float = 1.0  # fraction of each proxy's message quota
+
+
+_LIMITS = {
+    PushKind.URGENT: _Limits(URGENT_THRESHOLD),
+    PushKind.ORDINARY: _Limits(PUSH_THRESHOLD, PUSH_QUOTA_FRACTION),
+    PushKind.FIRST_TABLES: _Limits(PUSH_THRESHOLD),
+    PushKind.DRAIN_NOTICE: _Limits(DRAIN_NOTICE_THRESHOLD),
+    PushKind.RESTORATION: _Limits(DRAIN_NOTICE_THRESHOLD),
+    PushKind.MIGRATION: _Limits(PUSH_THRESHOLD),
+}
+
+
 class EgressBudget:
     """Tracks the entries reserved in this round and those not yet acknowledged by the proxies.
 
@@ -61,9 +78,8 @@
         self._additional_entries: float = 0  # observed in the channel beyond `unacknowledged_entries`
         self._max_observed_ratio = 0.0  # highest speed / nominal speed since the last evaluation
         self._queued_entries_at_nonce: dict[int, float] = {}
-        self._moved_at_ns = (
-            0  # last time when entries left the channel or were written into the empty channel
-        )
+        self._turns = ChannelTurns()
+        self._moved_at_ns = 0  # when entries last left the channel, or came into the empty one
 
     @property
     def queued_entries(self) -> float:
@@ -74,6 +90,7 @@
         """Start a round without any reservation."""
         self.reserved_entries = {}
         self._additional_entries = 0
+        self._turns.begin_round()
 
     def release(self, proxy: Proxy) -> None:
         """Release the unacknowledged entries of a disconnected proxy."""
@@ -107,12 +124,7 @@
         report_condition(state, "slow channel", slow, f"{self.channel_speed_ratio:.2f} of its usual pace")
 
     def reserve(
-        self,
-        state: PolicyState,
-        proxies: Iterable[ProxyId],
-        entries: int,
-        threshold: float = URGENT_THRESHOLD,
-        quota_fraction: float = 1.0,
+        self, state: PolicyState, proxies: Iterable[ProxyId], entries: int, kind: PushKind
     ) -> Reservation:
         """Reserve capacity for a number of entries to each of the proxies; nothing unless it is granted.
 
@@ -120,28 +132,41 @@
             state: State of the policy.
             proxies: Proxies to write to.
             entries: Number of entries for each of them.
-            threshold: Fraction of the egress queue limit that may be used.
-            quota_fraction: Fraction of each proxy's message quota that may be used.
+            kind: What they are for; it decides how much of the channel and of the quotas may be used.
         """
         overhead = state.settings.message_overhead_entries + ACK_REQUEST_ENTRIES
         costs = {p: entries + (0 if p in self.reserved_entries else overhead) for p in proxies}
         total_cost = sum(costs.values())
-        if total_cost > threshold * state.settings.egress_queue_limit_entries:
-            return Reservation.TOO_LARGE
-        if not self._channel_has_capacity(state, total_cost, threshold):
-            return Reservation.CHANNEL_FULL
-        if not self._quotas_allow(state, costs, quota_fraction):
-            return Reservation.QUOTA_USED_UP
+        reservation = self._check(state, costs, total_cost, kind)
+        if reservation is Reservation.CHANNEL_FULL:
+            self._turns.on_refused(kind)
+        if reservation is not Reservation.GRANTED:
+            return reservation
+        self._turns.on_reserved(kind, total_cost)
         if not self.unacknowledged_entries:
             self._moved_at_ns = state.now_ns
         for proxy, cost in costs.items():
             self.reserved_entries[proxy] = self.reserved_entries.get(proxy, 0) + cost
             self.unacknowledged_entries += cost
-        return Reservation.GRANTED
+        return reservation
 
-    def is_stalled(self, now_ns: int) -> bool:
-        """Return whether waiting is in vain: only silent proxies seem to have unacknowledged entries."""
-        return now_ns - self._moved_at_ns > STALL_NS
+    def _check(
+        self, state: PolicyState, proxies: Iterable[ProxyId], cost: float, kind: PushKind
+    ) -> Reservation:
+        """Return whether messages of a total cost may be written to the proxies."""
+        threshold, quota_fraction = _LIMITS[kind]
+        if self._turns.is_turn_of(kind):
+            threshold = URGENT_THRESHOLD  # as much as the urgent pushes that it takes turns with
+        if not self._turns.allows(kind):
+            return Reservation.CHANNEL_FULL
+        if cost > threshold * state.settings.egress_queue_limit_entries:
+            return Reservation.NO_ROOM_EXPECTED
+        if not self._channel_has_capacity(state, cost, threshold):
+            is_stalled = state.now_ns - self._moved_at_ns > STALL_NS
+            return Reservation.NO_ROOM_EXPECTED if is_stalled else Reservation.CHANNEL_FULL
+        if not self._quotas_allow(state, proxies, quota_fraction):
+            return Reservation.QUOTA_USED_UP
+        return Reservation.GRANTED
 
     def end_round(self, state: PolicyState) -> None:
         """Request an acknowledgement from each proxy written to in this round."""
--- a/swiftchute/policy/publishing.py
+++ b/swiftchute/policy/publishing.py
@@ -3,13 +3,8 @@
 from typing import NamedTuple
 
 from swiftchute.api.events import ProxyId
-from swiftchute.policy.egress_budget import (
-    PUSH_QUOTA_FRACTION,
-    PUSH_THRESHOLD,
-    URGENT_THRESHOLD,
-    EgressBudget,
-    Reservation,
-)
+from swiftchute.policy.channel_turns import PushKind
+from swiftchute.policy.egress_budget import EgressBudget, Reservation
 from swiftchute.policy.model import ADMISSION_KEY, EndpointTable
 from swiftchute.policy.state import PolicyState
 from swiftchute.policy.units import NS_PER_MS, NS_PER_S
@@ -53,8 +48,7 @@
     due = [subset for subset in subsets if not subset.proxies or _any_due(state, subset.tables)]
     due.sort(key=lambda subset: subset.changed_since_ns)
     for subset in urgent:
-        reservation = _push_urgent(state, budget, subset)
-        if reservation is Reservation.CHANNEL_FULL and not budget.is_stalled(state.now_ns):
+        if _push_urgent(state, budget, subset) is Reservation.CHANNEL_FULL:
             return
     for subset in due:
         _push_all(state, budget, subset)
@@ -94,7 +88,7 @@
     changes = [_urgent_changes(table) for table in subset.tables]
     count = sum(map(len, changes))
     if count:
-        reservation = budget.reserve(state, subset.proxies, count, URGENT_THRESHOLD)
+        reservation = budget.reserve(state, subset.proxies, count, PushKind.URGENT)
         if reservation is not Reservation.GRANTED:
             return reservation
     for table, entries in zip(subset.tables, changes, strict=True):
@@ -107,7 +101,7 @@
     changes = [_changes(table) for table in subset.tables]
     count = sum(map(len, changes))
     if count:
-        reservation = budget.reserve(state, subset.proxies, count, PUSH_THRESHOLD, PUSH_QUOTA_FRACTION)
+        reservation = budget.reserve(state, subset.proxies, count, PushKind.ORDINARY)
         if reservation is not Reservation.GRANTED:
             return
     for table, entries in zip(subset.tables, changes, strict=True):
