The first endpoints of an empty table are urgent

What callers would see: a zone that was lost returns while the channel is more than half full, and requests of an operation that stays in the zone are refused until the channel empties, though endpoints are listed.

Cause: a change is urgent if it takes weight away. An addition waits for the debounce and for room for ordinary pushes, also where the table has no endpoint at all. (`_urgent_changes` meant such a table to be pushed at once, but nothing marked it.)

Change: a table without a published endpoint is urgent once it is to have one.

Measured: the new test failed before (no entry of the returned endpoint is written while 1,200 of 2,000 entries wait).

--- a/swiftchute/policy/desired_tables.py
+++ b/swiftchute/policy/desired_tables.py
@@ -108,6 +108,7 @@
     table.desired = {name: weight for name, weight in before.items() if name in entries}
     # checks published entries, as one may already wait for its removal when its endpoint begins to drain
     urgent = any(not state.endpoints[name].is_ready for name in table.published.keys() - entries.keys())
+    urgent |= not table.has_endpoints and bool(entries.keys() - {ADMISSION_KEY})
     for name, weight in entries.items():
         old = table.desired.get(name)
         min_change = MIN_ADMISSION_CHANGE if name == ADMISSION_KEY else MIN_WEIGHT_CHANGE
--- a/tests/policy/test_publishing.py
+++ b/tests/policy/test_publishing.py
@@ -54,6 +54,19 @@
     assert [(endpoint, weight) for _, endpoint, weight in commands.of("set_weight")] == [("e0", 0)]
 
 
+def test_first_endpoints_of_an_empty_table_do_not_wait_for_capacity_for_other_changes(make_harness):
+    """Guards against proxies without an endpoint for an operation while ordinary pushes have to wait."""
+    harness = make_harness(operations=(operation("read"), operation("write", zone_local=True)))
+    harness.start(proxies=("east", "west"))
+    harness.run(2)
+    harness.run_round(list_changes([harness.endpoint(f"w{k}", "west", "gone") for k in range(4)]))
+    harness.run(3)
+    harness.state.proxies[0].unacknowledged_entries = {9999: 1200}
+    harness.budget.unacknowledged_entries = 1200  # of 2000
+    commands = harness.run_round(list_changes([harness.endpoint("w0", "west", age_s=1)]), wait_s=0.05)
+    assert "w0" in weights_in(commands, harness.table("west", zone_local=True))
+
+
 def test_operations_with_side_effects_get_only_safe_retries(make_harness):
     pay = replace(operation("pay"), idempotency="side-effecting")
     commands = make_harness(operations=(operation("read"), pay), default_retry_policy=2).start()
