Ejections come before restorations

Since proxies without tables take turns with urgent pushes, a refused restoration would besides have held up the ejections that the turn is for.

Change: first all ejections, then all restorations.

Measured: the new test (three proxies, one without tables; an endpoint that is ready again, listed before one that is gone) ejected the second only after the restoration before.

--- a/swiftchute/policy/draining.py
+++ b/swiftchute/policy/draining.py
@@ -34,17 +34,14 @@
         Ejections use the same queue threshold as assignments, which come first: one assignment announces all
         drains, and ejections that kept the queue full would delay it indefinitely.
         """
-        unknown_tables = _any_proxy_never_assigned(state)
-        for name, endpoint in state.endpoints.items():
-            eject = not endpoint.is_ready
-            if eject == (name in self.ejected) or (eject and not unknown_tables):
-                continue
-            proxies = _affected_proxies(state, name)
-            kind = PushKind.DRAIN_NOTICE if eject else PushKind.RESTORATION
-            if budget.reserve(state, proxies, EJECTION_ENTRIES, kind) is Reservation.GRANTED:
-                self._set_ejected(state, name, eject)
-            else:
-                unknown_tables = False  # no more ejections this round: each would need as much capacity
+        if _any_proxy_never_assigned(state):
+            for name, endpoint in state.endpoints.items():
+                if endpoint.is_ready or name in self.ejected:
+                    continue
+                if not self._change(state, budget, name, PushKind.DRAIN_NOTICE):
+                    break  # each other one would need as much capacity
+        for name in [name for name, e in state.endpoints.items() if e.is_ready and name in self.ejected]:
+            self._change(state, budget, name, PushKind.RESTORATION)
 
     def forget_removed(self, state: PolicyState) -> None:
         """Discard the removed endpoints that were listed first if there are more than the limit.
@@ -67,6 +64,14 @@
         if name in self.ejected:  # no proxy holds it any more, so no entries are reserved
             self._set_ejected(state, name, False)
 
+    def _change(self, state: PolicyState, budget: EgressBudget, name: str, kind: PushKind) -> bool:
+        """Eject or restore an endpoint if the budget allows it; return whether it does."""
+        proxies = _affected_proxies(state, name)
+        if budget.reserve(state, proxies, EJECTION_ENTRIES, kind) is not Reservation.GRANTED:
+            return False
+        self._set_ejected(state, name, kind is PushKind.DRAIN_NOTICE)
+        return True
+
     def _set_ejected(self, state: PolicyState, name: str, ejected: bool) -> None:
         state.commands.set_ejected(name, ejected)
         if ejected:
--- a/tests/policy/test_draining.py
+++ b/tests/policy/test_draining.py
@@ -19,6 +19,18 @@
     assert ejected.of("set_ejected") == [("e0", False)]
 
 
+def test_ejections_come_before_the_restoration_of_endpoints_that_were_listed_earlier(make_harness):
+    """Guards against a proxy that hears late of a drain, as the capacity goes to endpoints that returned."""
+    harness = make_harness(egress_queue_limit_entries=60.0)
+    harness.start(proxies=("east",) * 3)
+    harness.run(2)
+    harness.reconciler.ejections.ejected = {"e0"}  # listed first, and ready
+    harness.state.proxies[0].subset = None  # not assigned yet
+    harness.state.proxies[0].unassigned = False
+    commands = harness.run_round(list_changes([harness.endpoint("z", state="gone")]), wait_s=0.05)
+    assert commands.of("set_ejected")[0] == ("z", True)
+
+
 def test_ejection_reserves_entries_only_for_the_proxies_that_receive_it(make_harness):
     """Entries reserved for other proxies would never be acknowledged and would delay assignments."""
     harness = make_harness()
