Report urgent changes that wait for over a second

The condition `late push ZONE TABLE` says which subset has an urgent change that waits for the channel or for message quotas.

--- a/swiftchute/policy/publishing.py
+++ b/swiftchute/policy/publishing.py
@@ -4,6 +4,7 @@
 
 from swiftchute.api.events import ProxyId
 from swiftchute.policy.channel_turns import PushKind
+from swiftchute.policy.conditions import report_condition
 from swiftchute.policy.egress_budget import EgressBudget, Reservation
 from swiftchute.policy.model import ADMISSION_KEY, EndpointTable
 from swiftchute.policy.state import PolicyState
@@ -13,6 +14,7 @@
 MAX_DEBOUNCE_NS = 1 * NS_PER_S  # and after this time in any case
 MIN_PUSH_INTERVAL_NS = 1 * NS_PER_S  # between ordinary pushes of a table; urgent entries ignore it
 URGENT_DROP_FRACTION = 0.5  # a weight below this fraction of the published one is urgent
+LATE_PUSH_NS = 1 * NS_PER_S  # an urgent change that waits longer is reported to the operators
 UNLIMITED_REQUEST_RATE = 1e6  # per second; admits all requests if admission is by rate
 
 Entries = dict[str, float]
@@ -24,11 +26,6 @@
     tables: list[EndpointTable]
     proxies: list[ProxyId]
 
-    @property
-    def urgent_since_ns(self) -> int | None:
-        """When the first urgent change was made, None without any."""
-        return min((t.urgent_since_ns for t in self.tables if t.urgent_since_ns is not None), default=None)
-
     @property
     def changed_since_ns(self) -> int:
         """When the first change was made."""
@@ -43,13 +40,21 @@
     an urgent push waits for the channel, no other uses the capacity: smaller ones would always fit before.
     """
     subsets = _changed_subsets(state)
-    urgent = [subset for subset in subsets if subset.urgent_since_ns is not None]
-    urgent.sort(key=lambda subset: subset.urgent_since_ns or 0)
+    if _push_urgent_changes(state, budget, subsets):
+        _push_due_changes(state, budget, subsets)
+    _report_late_pushes(state)
+
+
+def _push_urgent_changes(state: PolicyState, budget: EgressBudget, subsets: list[_ChangedSubset]) -> bool:
+    """Push urgent changes until the channel is full; return whether it is not."""
+    urgent = [subset for subset in subsets if _urgent_since_ns(subset.tables) is not None]
+    urgent.sort(key=lambda subset: _urgent_since_ns(subset.tables) or 0)
+    return all(_push_urgent(state, budget, subset) is not Reservation.CHANNEL_FULL for subset in urgent)
+
+
+def _push_due_changes(state: PolicyState, budget: EgressBudget, subsets: list[_ChangedSubset]) -> None:
     due = [subset for subset in subsets if not subset.proxies or _any_due(state, subset.tables)]
     due.sort(key=lambda subset: subset.changed_since_ns)
-    for subset in urgent:
-        if _push_urgent(state, budget, subset) is Reservation.CHANNEL_FULL:
-            return
     for subset in due:
         _push_all(state, budget, subset)
 
@@ -65,6 +70,20 @@
     return subsets
 
 
+def _report_late_pushes(state: PolicyState) -> None:
+    """Report which subsets have an urgent change that waits for the channel or for message quotas."""
+    for (zone, _), tables in state.tables.items():
+        since_ns = _urgent_since_ns(tables)
+        waited_ns = 0 if since_ns is None else state.now_ns - since_ns
+        cause = f"waits for {waited_ns / NS_PER_S:.1f} s"
+        report_condition(state, f"late push {zone} {tables[0].number}", waited_ns > LATE_PUSH_NS, cause)
+
+
+def _urgent_since_ns(tables: list[EndpointTable]) -> int | None:
+    """Return since when any of the tables has an urgent change, None without any."""
+    return min((t.urgent_since_ns for t in tables if t.urgent_since_ns is not None), default=None)
+
+
 def is_urgent_drop(name: str, weight: float, published: Entries) -> bool:
     """Return whether a weight is so far below the published one that it must be pushed at once."""
     return name != ADMISSION_KEY and weight < URGENT_DROP_FRACTION * published.get(name, 0)
