drill: one module for each invariant, and the evidence in a module of its own

The evidence, its index and the verdict are in `drill/evidence.py`; `drill/invariants/` has a module for each of the five checks, in functions under 50 lines. No check, bound or text changed.

--- a/swiftchute/cli/drills.py
+++ b/swiftchute/cli/drills.py
@@ -9,8 +9,8 @@
 from swiftchute.cli.common import EXIT_FAILED, EXIT_USAGE, fail, load_or_fail
 
 if TYPE_CHECKING:
+    from swiftchute.drill.evidence import Verdict
     from swiftchute.drill.faulty_policies import Case
-    from swiftchute.drill.invariants import Verdict
     from swiftchute.drill.runner import Result
     from swiftchute.drill.scenario import Scenario
 
--- a/swiftchute/drill/faulty_policies.py
+++ b/swiftchute/drill/faulty_policies.py
@@ -26,8 +26,9 @@
     TimerFired,
 )
 from swiftchute.drill.builtin_scenarios import SCENARIOS
+from swiftchute.drill.evidence import Verdict
 from swiftchute.drill.fleet import FleetOptions
-from swiftchute.drill.invariants import Verdict, judge
+from swiftchute.drill.invariants import judge
 from swiftchute.drill.report import broken
 from swiftchute.drill.runner import Result, Runner
 from swiftchute.drill.scenario import Fault, Scenario
--- a/swiftchute/drill/predict.py
+++ b/swiftchute/drill/predict.py
@@ -11,7 +11,7 @@
 
 from scipy import stats
 
-from swiftchute.drill.invariants import Evidence
+from swiftchute.drill.evidence import Evidence
 from swiftchute.proxy.xds_client import XdsClient
 
 
--- a/swiftchute/drill/published_list.py
+++ b/swiftchute/drill/published_list.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Iterable
 
-from swiftchute.drill.invariants import Observation
+from swiftchute.drill.evidence import Observation
 from swiftchute.fakes.backend import FakeBackend
 
 NS_PER_S = 1_000_000_000
--- a/swiftchute/drill/report.py
+++ b/swiftchute/drill/report.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from swiftchute.drill.invariants import Verdict
+from swiftchute.drill.evidence import Verdict
 from swiftchute.drill.runner import Result
 
 
--- a/swiftchute/drill/runner.py
+++ b/swiftchute/drill/runner.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from swiftchute.drill.evidence import Evidence
 from swiftchute.drill.fault_actions import FaultActions
 from swiftchute.drill.fleet import Fleet, FleetOptions
-from swiftchute.drill.invariants import Evidence
 from swiftchute.drill.scenario import OPERATIONS, Scenario, request_share
 from swiftchute.fakes.gateway import FakeGateway
 
--- a/swiftchute/drill/shrink.py
+++ b/swiftchute/drill/shrink.py
@@ -13,8 +13,9 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, replace
 
+from swiftchute.drill.evidence import Verdict
 from swiftchute.drill.faults import KINDS, draw_scenario
-from swiftchute.drill.invariants import Verdict, judge
+from swiftchute.drill.invariants import judge
 from swiftchute.drill.report import broken
 from swiftchute.drill.runner import Runner
 from swiftchute.drill.scenario import Fault, Scenario
--- a/tests/drill/test_faults.py
+++ b/tests/drill/test_faults.py
@@ -9,9 +9,9 @@
 from hypothesis import strategies as st
 
 from swiftchute.config import ConfigError
+from swiftchute.drill.evidence import Evidence, Verdict
 from swiftchute.drill.fault_actions import FaultActions
 from swiftchute.drill.faults import KINDS, draw_scenario, load, to_hcl
-from swiftchute.drill.invariants import Evidence, Verdict
 from swiftchute.drill.report import broken
 from swiftchute.drill.runner import Result
 from swiftchute.drill.scenario import Fault
