Tables that no proxy uses do not wait for a full channel

What callers would see: a proxy that connects while an urgent push waits for the channel is assigned a table that still names an endpoint which drains, and hears of that drain only when its subset's turn comes.

Change: only subsets with proxies wait. The urgent changes of the others are written without a reservation, and their due changes are not held back by an urgent push of another subset.

Measured: the new test (20 proxies of one zone, a queue that holds one push to all of them, a drain in the other zone) failed before ('w0' still in the table) and passes on.

--- a/swiftchute/policy/publishing.py
+++ b/swiftchute/policy/publishing.py
@@ -38,18 +38,24 @@
     The subset whose change has waited longest comes first. In a fixed order, the first subsets would fill a
     slow channel with each new change, and the last would hear of none as long as there are new ones. While
     an urgent push waits for the channel, no other uses the capacity: smaller ones would always fit before.
+    Only tables that no proxy uses need not wait for it, as their changes are sent to nobody.
     """
     subsets = _changed_subsets(state)
     if _push_urgent_changes(state, budget, subsets):
-        _push_due_changes(state, budget, subsets)
+        subsets = [subset for subset in subsets if not subset.proxies]
+    _push_due_changes(state, budget, subsets)
     _report_late_pushes(state)
 
 
 def _push_urgent_changes(state: PolicyState, budget: EgressBudget, subsets: list[_ChangedSubset]) -> bool:
-    """Push urgent changes until the channel is full; return whether it is not."""
+    """Push urgent changes until one has to wait for the channel; return whether one has to."""
     urgent = [subset for subset in subsets if _urgent_since_ns(subset.tables) is not None]
     urgent.sort(key=lambda subset: _urgent_since_ns(subset.tables) or 0)
-    return all(_push_urgent(state, budget, subset) is not Reservation.CHANNEL_FULL for subset in urgent)
+    must_wait = False
+    for subset in urgent:
+        if not (must_wait and subset.proxies):
+            must_wait |= _push_urgent(state, budget, subset) is Reservation.CHANNEL_FULL
+    return must_wait
 
 
 def _push_due_changes(state: PolicyState, budget: EgressBudget, subsets: list[_ChangedSubset]) -> None:
@@ -106,7 +112,7 @@
     """Push the urgent entries of a subset's tables without waiting for the debounce."""
     changes = [_urgent_changes(table) for table in subset.tables]
     count = sum(map(len, changes))
-    if count:
+    if count and subset.proxies:
         reservation = budget.reserve(state, subset.proxies, count, PushKind.URGENT)
         if reservation is not Reservation.GRANTED:
             return reservation
--- a/tests/policy/test_push_order.py
+++ b/tests/policy/test_push_order.py
@@ -3,7 +3,7 @@
 import pytest
 
 from swiftchute.policy.units import NS_PER_S
-from tests.support.policy import list_changes, weights_in
+from tests.support.policy import SlowChannel, list_changes, weights_in
 from tests.support.rolling_deploy import RollingDeploy
 from tests.support.settings import DEFAULTS
 
@@ -94,3 +94,17 @@
     harness.budget.unacknowledged_entries = 0
     harness.run_round(wait_s=0.1)
     assert late_push not in harness.state.conditions
+
+
+def test_tables_that_no_proxy_uses_are_current_while_urgent_pushes_wait(make_harness):
+    """Guards against a proxy that connects then and is assigned entries of a drained endpoint."""
+    harness = make_harness(egress_queue_limit_entries=200.0)
+    harness.start(proxies=("east",) * 20)
+    harness.run(10)
+    channel = SlowChannel(harness, 100.0)
+    channel.run_round(list_changes([harness.endpoint("e0", state="draining")]), wait_s=0.05)
+    waiting = channel.run_round(list_changes([harness.endpoint("e1", state="draining")]), wait_s=0.05)
+    assert waiting.of("set_weight") == []
+    west_drain = list_changes([harness.endpoint("w0", "west", "draining")])
+    commands = channel.run_round(west_drain, wait_s=0.05)
+    assert weights_in(commands, harness.table("west"))["w0"] == 0
