tests: the simulated channel also sends messages larger than a second's worth

A message of more entries than the channel sends in a second never left it, as no more than that was saved up; all messages behind it waited for ever.

--- a/tests/support/policy.py
+++ b/tests/support/policy.py
@@ -121,11 +121,15 @@
             latency_ns = self.harness.now - sent_ns + int(wait_s * NS_PER_S)
             self.delivered_ns[proxy, nonce] = sent_ns + latency_ns
             acknowledgements.append(PushAcknowledged(proxy, nonce, latency_ns))
-        self.capacity_entries = min(self.capacity_entries, self.entries_per_s) if self.queue else 0.0
+        self.capacity_entries = min(self.capacity_entries, self._max_capacity_entries())
         commands = self.harness.run_round(*acknowledgements, *events, wait_s=wait_s)
         self._enqueue_written()
         return commands
 
+    def _max_capacity_entries(self):
+        """Return what may be saved up: a second's worth, or as much as the next message needs."""
+        return max(self.entries_per_s, self.queue[0][2]) if self.queue else 0.0
+
     def _enqueue_written(self):
         for proxy, known in self.harness.state.proxies.items():
             for nonce, entries in known.unacknowledged_entries.items():
