--- a/tests/policy/test_push_order.py
+++ b/tests/policy/test_push_order.py
@@ -96,13 +96,15 @@
     assert late_push not in harness.state.conditions
 
 
-def test_tables_that_no_proxy_uses_are_current_while_urgent_pushes_wait(make_harness):
+@pytest.mark.parametrize("channel_speed_ratio", [1.0, 0.2])
+def test_tables_that_no_proxy_uses_are_current_while_urgent_pushes_wait(make_harness, channel_speed_ratio):
     """Guards against a proxy that connects then and is assigned entries of a drained endpoint."""
     harness = make_harness(egress_queue_limit_entries=200.0)
     harness.start(proxies=("east",) * 20)
     harness.run(10)
     channel = SlowChannel(harness, 100.0)
     channel.run_round(list_changes([harness.endpoint("e0", state="draining")]), wait_s=0.05)
+    harness.budget.channel_speed_ratio = channel_speed_ratio
     waiting = channel.run_round(list_changes([harness.endpoint("e1", state="draining")]), wait_s=0.05)
     assert waiting.of("set_weight") == []
     west_drain = list_changes([harness.endpoint("w0", "west", "draining")])
