tests: the fake list server closes its connection when the test's loop ends

Cause: with a garbage collection after each test, of all packages with sockets only test_sources.py warns: its server is cancelled in the middle of the response that never ends and leaves the writer open. It closes it now in any case. The responses and the assertions are as before.

--- a/tests/discovery/test_sources.py
+++ b/tests/discovery/test_sources.py
@@ -1,6 +1,7 @@
 """Sources of endpoint lists: missing and replaced files, and URLs that fail, hang or respond too slowly."""
 
 import asyncio
+import contextlib
 import os
 import random
 
@@ -32,10 +33,7 @@
     """The responses in order: an error, a good list, a slow one that never ends, truncated ones."""
     lists, failures, requests = [], [], []
 
-    async def serve(reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        requests.append(1)
-        response_number = len(requests)
+    async def respond(writer, response_number):
         if response_number == 1:
             writer.write(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n")
         elif response_number == 2:
@@ -47,7 +45,12 @@
                 await asyncio.sleep(0.02)
         else:
             writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n[")
-        writer.close()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        requests.append(1)
+        with contextlib.closing(writer):  # also if the loop ends in the middle of a response
+            await respond(writer, len(requests))
 
     async def run():
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
