The log of serve holds the figures of late push and slow channel

What operators saw: 'condition changed' with the fields mode and on alone.

Change: the fields waited_s and pace.

--- a/swiftchute/observability/logging.py
+++ b/swiftchute/observability/logging.py
@@ -18,6 +18,8 @@
     ("good_ms", re.compile(r"(-?\d+(?:\.\d+)?) ms a good answer")),
     ("usual_ms", re.compile(r"usual (-?\d+(?:\.\d+)?)")),
     ("again_s", re.compile(r"asked again in (-?\d+(?:\.\d+)?) s")),
+    ("waited_s", re.compile(r"waits for (-?\d+(?:\.\d+)?) s")),
+    ("pace", re.compile(r"(-?\d+(?:\.\d+)?) of its usual pace")),
     ("entries", re.compile(r"(\d+) entries")),
 )
 
