--- a/review/standins_2/world.py
+++ b/review/standins_2/world.py
@@ -6,10 +6,12 @@
 
 import asyncio
 import json
+import math
 import os
 import random
 import signal
 import socket
+import sys
 import tempfile
 import time
 import tomllib
@@ -76,10 +78,11 @@
         self.up_since_ms = (
             0 if started_s is None else int((time.time() - world.record.now() + started_s) * 1000)
         )
+        self.host = f"127.0.1.{len(world.servers) + 1}"  # no connection of a client takes its port meanwhile
         self.listener, self.port, self.served, self.writers = None, 0, 0, set()
 
     async def start(self):
-        self.listener = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.listener = await asyncio.start_server(self._serve, self.host, self.port)
         self.port = self.listener.sockets[0].getsockname()[1]
 
     async def _serve(self, reader, writer):
@@ -106,7 +109,7 @@
             writer.transport.abort()
 
     def member(self):
-        return {"id": self.name, "host_port": f"127.0.0.1:{self.port}", "locality": self.zone,
+        return {"id": self.name, "host_port": f"{self.host}:{self.port}", "locality": self.zone,
                 "flavor": "std-4core",
                 "cell": 0, "phase": self.phase, "size": 1.0, "up_since_ms": self.up_since_ms}  # fmt: skip
 
@@ -120,7 +123,7 @@
         self.history = []  # (revision, members)
         self.watches = set()
         self.silent = False  # discovery is down
-        self.told_s = {}  # by server: when it was told to drain or to be gone, while it is not ready
+        self.told = {}  # by server: [when told to drain or to be gone, when to be ready again], each time
 
     async def start(self):
         self.listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -138,10 +141,12 @@
         self.history.append((self.revision, members))
         now = self.world.record.now()
         for server in servers:
-            if server.phase == "Ready":
-                self.told_s.pop(server.name, None)
-            else:
-                self.told_s.setdefault(server.name, now)
+            spans = self.told.setdefault(server.name, [])
+            not_ready = bool(spans) and spans[-1][1] == math.inf
+            if server.phase == "Ready" and not_ready:
+                spans[-1][1] = now
+            elif server.phase != "Ready" and not not_ready:
+                spans.append([now, math.inf])
         self.world.record(f"discovery tells {[(server.name, server.phase) for server in servers]}")
         self._write({"revision": self.revision, "complete": False, "members": members})
 
@@ -365,7 +370,9 @@
             await asyncio.sleep(self.world.random.expovariate(self.world.rate_per_s))
             number += 1
             name = self.world.class_names[number % len(self.world.class_names)]
-            asyncio.ensure_future(self._request(name, f"{self.number}-{number}"))
+            task = asyncio.ensure_future(self._request(name, f"{self.number}-{number}"))
+            self.world.requests.add(task)
+            task.add_done_callback(self.world.requests.discard)
 
     async def _request(self, name, request):
         world = self.world
@@ -412,7 +419,7 @@
         started = time.monotonic()
         outcome = "refused"
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            reader, writer = await asyncio.open_connection(server.host, server.port)
             outcome = "reset"
             try:
                 writer.write(f"GET /{request} HTTP/1.1\r\nHost: {server.name}\r\n\r\n".encode())
@@ -519,7 +526,7 @@
         self.served = self.unserved = 0
         self.sums = OrderedDict()  # reports that wait, oldest first: key -> [start, tries, failed, time]
         self.discovery = Discovery(self)
-        self.tasks = []
+        self.tasks, self.requests = [], set()
         self.empty = []  # (proxy, class, since, until)
 
     def spawn(self, coroutine):
@@ -603,13 +610,14 @@
                             self.empty.append((proxy.number, name, since, now))
 
     async def close(self):
-        for task in self.tasks:
+        for task in [*self.tasks, *self.requests]:
             task.cancel()
         for planner in self.planners:
             await planner.end()
         for server in self.servers.values():
             server.end()
         await asyncio.sleep(0.5)  # until the connections have ended
+        sys.unraisablehook = lambda _: None  # writers that are collected after the loop has ended
         now = self.record.now()
         for proxy in self.proxies:
             self.empty += [(proxy.number, name, since, now) for name, since in proxy.empty_since_s.items()]
@@ -625,10 +633,10 @@
     grace_s = world.settings["rules"]["drain_grace_us"] / 1e6 + SLACK_S
     late = []
     for now, proxy, server, joined_s in world.sends:
-        told_s = world.discovery.told_s.get(server)
-        if told_s is None or joined_s is None:
-            continue
-        limit_s = max(told_s, joined_s, planner.answered_s + FIRST_LIMIT_S) + grace_s
-        if now > limit_s:
-            late.append((now, proxy, server, now - limit_s))
+        for told_s, ready_s in world.discovery.told.get(server, ()):
+            if joined_s is None or not told_s <= now < ready_s:
+                continue
+            limit_s = max(told_s, joined_s, planner.answered_s + FIRST_LIMIT_S) + grace_s
+            if now > limit_s:
+                late.append((now, proxy, server, now - limit_s))
     return late
