Review stand-ins: messages that arrive at one time are applied in order

Cause: two timers of one moment could fire in the other order, so a proxy could apply a later message first. Done: each stream has a queue; its timers take the oldest message.

--- a/review/standins_2/world.py
+++ b/review/standins_2/world.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import logging
 import math
 import os
 import random
@@ -19,6 +20,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
+logging.getLogger("asyncio").setLevel(logging.ERROR)  # not of writes to connections that were reset
 SLACK_S = 0.3  # of the time limits of the rules, by the protocol page
 FIRST_LIMIT_S = 1.0  # after the first answer of the planner, by the protocol page
 
@@ -250,8 +252,7 @@
         self.open, self.reader, self.writer = False, None, None
         self.joined_s = None
         self.silent = False
-        self.last_arrival_s = 0.0
-        self.tasks = set()
+        self.last_arrival_s, self.travelling = 0.0, deque()
 
     async def run(self):
         """Connect, join, and read until the connection ends."""
@@ -294,9 +295,11 @@
     def arrive(self, at_s, parts, entered_s):
         self.last_arrival_s = at_s = max(at_s, self.last_arrival_s)
         delay = max(at_s - self.world.record.now(), 0)
-        asyncio.get_running_loop().call_later(delay, self._apply, parts, entered_s)
+        self.travelling.append((parts, entered_s))
+        asyncio.get_running_loop().call_later(delay, self._apply)
 
-    def _apply(self, parts, entered_s):
+    def _apply(self):
+        parts, entered_s = self.travelling.popleft()  # in order, also where two arrive at one time
         if not self.open or self.silent:
             return
         for part in parts:
