--- a/review/7/case.py
+++ b/review/7/case.py
@@ -80,8 +80,4 @@
 
 
 if __name__ == "__main__":
-    try:
-        sys.exit(asyncio.run(main()))
-    except (OSError, RuntimeError, ValueError) as error:
-        print(f"the case could not run: {error!r}")
-        sys.exit(2)
+    standins.run(main)
--- a/review/standins_2/world.py
+++ b/review/standins_2/world.py
@@ -558,8 +558,8 @@
 
     async def add_planner(self, name):
         planner = Planner(self, name)
-        await planner.start()
         self.planners.append(planner)
+        await planner.start()
         for zone in self.settings["dcs"]:
             self.spawn(planner.collect(zone))
         return planner
@@ -641,6 +641,21 @@
         self.folder_owner.cleanup()
 
 
+def run(main):
+    """Run a case and exit with its code, or with 2 if it could not run; SIGTERM ends its processes too."""
+
+    async def until_signal():
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await main()
+
+    try:
+        sys.exit(asyncio.run(until_signal()))
+    except (OSError, RuntimeError, ValueError, asyncio.CancelledError) as error:
+        print(f"the case could not run: {error!r}")
+        sys.exit(2)
+
+
 def late_drains(world, planner):
     """Sends of joined proxies to servers that drain or are gone, after the limit of the rule.
 
