Give a key range its next owner only when no proxy can use the former one

Cause: the new owner was written in the round of the drain. Proxies apply a message at different times, and nothing waited for them. Key ranges were also written past the egress budget, without acknowledgements. Change: an owner change is a state machine (policy/ownership_fence.py). The table is cleared first. The new owner is written when each connected proxy has acknowledged the cleared table, when the lease of each lost one is over and the lifetime of a write has passed; a silent proxy holds it up for one push delay and one lease after the last acknowledgement, and the longest time without an endpoint ends it in any case. A key range that is assigned waits for the lease as well. A former owner comes last among the candidates. All writes go through the egress budget, urgent ones first. Changed expectations: the fixed rounds of test_key_ranges.py now hold acknowledgement requests, and for a single owner their own list of commands, as the old one was the fault itself (the owner written with the drain). In the last round but one, key ranges are written in the order in which they lost their endpoint.

--- a/swiftchute/api/settings.py
+++ b/swiftchute/api/settings.py
@@ -45,6 +45,8 @@
     proxy_count: int
     key_range_count: int
     single_owner: bool  # a key range is served by only one endpoint at a time
+    owner_lease_ns: int  # how long a proxy sends writes of a key range after the loss of its instance
+    write_lifetime_ns: int  # longest time from a write's arrival at its proxy until no endpoint holds it
     admission_mode: str  # "share", "rate" or "none"
     default_retry_policy: int  # as in `CommandSink.set_admission`
     attempt_timeout_objectives: float  # timeout of an attempt as a multiple of the latency objective
--- a/swiftchute/config/loader.py
+++ b/swiftchute/config/loader.py
@@ -173,6 +173,8 @@
             may_message_peers=False,
             key_range_count=0,
             single_owner=False,
+            owner_lease_ns=0,
+            write_lifetime_ns=0,
             probe_price=0.0,
             **given,
         )
--- a/swiftchute/policy/egress_budget.py
+++ b/swiftchute/policy/egress_budget.py
@@ -86,6 +86,11 @@
         """Entries that may be queued in the channel, reserved by this policy or not."""
         return self.unacknowledged_entries + self._additional_entries
 
+    @property
+    def next_nonce(self) -> int:
+        """Nonce of the current round if it writes to any proxy."""
+        return self.nonce % MAX_NONCE + 1
+
     def begin_round(self) -> None:
         """Start a round without any reservation."""
         self.reserved_entries = {}
@@ -172,7 +177,7 @@
         """Request an acknowledgement from each proxy written to in this round."""
         if not self.reserved_entries:
             return
-        self.nonce = self.nonce % MAX_NONCE + 1
+        self.nonce = self.next_nonce
         state.commands.request_ack(self.nonce, False)
         self._queued_entries_at_nonce[self.nonce] = self.queued_entries
         if len(self._queued_entries_at_nonce) > MAX_TRACKED_NONCES:
--- a/swiftchute/policy/key_ranges.py
+++ b/swiftchute/policy/key_ranges.py
@@ -1,56 +1,185 @@
-"""Key ranges: assigns ready endpoints to the key ranges that this instance owns."""
+"""Key ranges: which endpoints serve the key ranges that this instance owns, and when their tables change.
 
-from swiftchute.api.events import KeyRangeAssigned, KeyRangeEntryRestored, KeyRangeRevoked
+Where a key range has a single owner, a change of owner has two steps. The table is cleared first; it names
+the new owner once the fence of the key range has ended (`swiftchute.policy.ownership_fence`). Elsewhere new
+entries are written before old ones are removed, in the same message.
+"""
+
+from swiftchute.api.events import (
+    KeyRangeAssigned,
+    KeyRangeEntryRestored,
+    KeyRangeRevoked,
+    ProxyId,
+)
+from swiftchute.policy.channel_turns import PushKind
+from swiftchute.policy.egress_budget import EgressBudget, Reservation
+from swiftchute.policy.key_range_load import KeyRange, KeyRangeLoads
+from swiftchute.policy.ownership_fence import LeaseClock, OwnershipFence, lease_end_ns
 from swiftchute.policy.state import PolicyState
 
 ENTRY_WEIGHT = 1  # of an endpoint that is newly assigned to a key range
 
 
 class KeyRanges:
-    """Holds the entries of the key ranges that this instance owns, by key range and endpoint."""
+    """Holds the key ranges that this instance owns, and decides on their entries."""
 
     def __init__(self) -> None:
         """Create an instance that owns no key range."""
-        self._entries: dict[int, dict[str, float]] = {}
+        self._ranges: dict[int, KeyRange] = {}
+        self._fences: dict[int, OwnershipFence] = {}  # of cleared key ranges
+        self._round_fence: OwnershipFence | None = None  # of those cleared in this round
+        self._leases = LeaseClock()
+        self._lease_ends_ns: dict[int, int] = {}  # of proxies that used a key range before it was assigned
+        self._is_settled = False  # nothing has changed or waits since the last decision
 
-    def on_assigned(self, event: KeyRangeAssigned) -> None:
+    def on_assigned(self, state: PolicyState, event: KeyRangeAssigned) -> None:
         """Start to own a key range; its existing entries follow in separate events."""
-        self._entries[event.key_range] = {}
+        self.on_revoked(KeyRangeRevoked(event.key_range))
+        self._ranges[event.key_range] = KeyRange(event.key_range)
+        self._lease_ends_ns[event.key_range] = lease_end_ns(state)
 
     def on_revoked(self, event: KeyRangeRevoked) -> None:
         """Stop owning a key range, and forget its entries."""
-        self._entries.pop(event.key_range, None)
+        self._ranges.pop(event.key_range, None)
+        self._fences.pop(event.key_range, None)
+        self._lease_ends_ns.pop(event.key_range, None)
+        self._is_settled = False
 
     def on_entry_restored(self, event: KeyRangeEntryRestored) -> None:
         """Record an entry that the table of a key range already holds."""
-        self._entries.setdefault(event.key_range, {})[event.endpoint] = event.weight
+        known = self._ranges.setdefault(event.key_range, KeyRange(event.key_range))
+        known.entries[event.endpoint] = event.weight
+        self._is_settled = False
+
+    def on_list_update(self) -> None:
+        """Take note that the endpoints have changed."""
+        self._is_settled = False
+
+    def on_proxy_connected(self, proxy: ProxyId) -> None:
+        """Take note of a proxy that will acknowledge messages."""
+        self._leases.on_connected(proxy)
+
+    def on_proxy_lost(self, state: PolicyState, proxy: ProxyId) -> None:
+        """Take note of a proxy whose session ended: it may use its tables until its lease ends."""
+        self._leases.on_lost(state, proxy)
+        for fence in set(self._fences.values()):
+            fence.on_proxy_lost(state, proxy)
 
-    def assign_endpoints(self, state: PolicyState) -> None:
-        """Assign the endpoint that serves the fewest key ranges to each key range without a ready endpoint.
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a key range waits for a fence or for the channel."""
+        return not self._is_settled and bool(self._ranges)
 
-        Key ranges keep the entries of their ready endpoints. If no endpoint is ready, all entries stay.
+    def next_due_ns(self, state: PolicyState, budget: EgressBudget) -> int | None:
+        """Return when the next fence ends as far as is known, None without any key range that waits."""
+        unserved = [number for number, known in self._ranges.items() if not known.entries]
+        return min((self._may_assign_ns(state, budget, number) for number in unserved), default=None)
+
+    def update(self, state: PolicyState, budget: EgressBudget) -> None:
+        """Replace endpoints that must not serve key ranges any more.
+
+        If no endpoint is ready, all entries stay.
         """
-        ready = dict.fromkeys(state.ready_endpoints(), ENTRY_WEIGHT)
-        if not ready:
+        for fence in set(self._fences.values()):
+            fence.on_acknowledgements(state)
+        if not self._ranges or self._is_settled:
             return
-        for key_range, entries in self._entries.items():
-            kept: dict[str, float] = {name: weight for name, weight in entries.items() if name in ready}
-            if not kept:
-                kept = {self._least_loaded_endpoint(ready): ENTRY_WEIGHT}
-            self._publish_changes(state, key_range, kept)
-            self._entries[key_range] = kept
-
-    def _least_loaded_endpoint(self, ready: dict[str, int]) -> str:
-        serving = [name for entries in self._entries.values() for name in entries]
-        return min(ready, key=lambda name: (serving.count(name), name))
+        if not state.ready_endpoints():
+            self._is_settled = True
+            return
+        self._round_fence = None
+        loads = KeyRangeLoads(state, self._ranges.values())
+        self._is_settled = self._replace_unusable_endpoints(state, budget, loads)
 
-    def _publish_changes(self, state: PolicyState, key_range: int, kept: dict[str, float]) -> None:
-        """Write the changed entries, new ones first.
+    def _replace_unusable_endpoints(
+        self, state: PolicyState, budget: EgressBudget, loads: KeyRangeLoads
+    ) -> bool:
+        """Write the entries of key ranges without usable endpoints; return whether none has to wait.
 
-        With a single owner a new entry replaces the old one, so no removal is written.
+        Those that have waited longest come first.
         """
-        before = self._entries[key_range]
-        changed = [name for name in [*kept, *before] if kept.get(name) != before.get(name)]
+        unserved = []
+        for key_range in self._ranges.values():
+            usable = _usable_entries(key_range, loads)
+            if usable and usable == key_range.entries:
+                key_range.unserved_since_ns = None
+                continue
+            if key_range.unserved_since_ns is None:
+                key_range.unserved_since_ns = state.now_ns
+            unserved.append((key_range, usable))
+        unserved.sort(key=lambda item: item[0].unserved_since_ns or 0)
+        for key_range, usable in unserved:
+            reservation = self._replace(state, budget, loads, key_range, usable, PushKind.URGENT)
+            if reservation not in (Reservation.GRANTED, None):
+                break  # the others go to the same proxies
+        return all(key_range.unserved_since_ns is None for key_range in self._ranges.values())
+
+    def _replace(
+        self,
+        state: PolicyState,
+        budget: EgressBudget,
+        loads: KeyRangeLoads,
+        key_range: KeyRange,
+        usable: dict[str, float],
+        kind: PushKind,
+    ) -> Reservation | None:
+        """Take the next step to other entries; return None if it has to wait for a fence."""
+        if state.settings.single_owner and key_range.entries:
+            return self._clear(state, budget, loads, key_range, kind)
+        if state.settings.single_owner and state.now_ns < self._may_assign_ns(
+            state, budget, key_range.number
+        ):
+            return None
+        entries = usable or {loads.best_endpoint(key_range): ENTRY_WEIGHT}
+        reservation = _write_entries(state, budget, key_range, entries, kind)
+        if reservation is Reservation.GRANTED:
+            key_range.former_owners |= key_range.entries.keys() - entries.keys()
+            loads.move(key_range, entries)
+            key_range.unserved_since_ns = None
+            self._fences.pop(key_range.number, None)
+        return reservation
+
+    def _clear(
+        self,
+        state: PolicyState,
+        budget: EgressBudget,
+        loads: KeyRangeLoads,
+        key_range: KeyRange,
+        kind: PushKind,
+    ) -> Reservation:
+        """Clear the table of a key range and set up its fence."""
+        reservation = budget.reserve(state, state.proxies, 1, kind)
+        if reservation is not Reservation.GRANTED:
+            return reservation
+        state.commands.clear_table(key_range.number)
+        if self._round_fence is None:
+            self._round_fence = OwnershipFence(state, budget, self._leases.latest_end_ns(state))
+        self._fences[key_range.number] = self._round_fence
+        key_range.former_owners |= key_range.entries.keys()
+        loads.move(key_range, {})
+        self._is_settled = False
+        return reservation
+
+    def _may_assign_ns(self, state: PolicyState, budget: EgressBudget, number: int) -> int:
+        """Return when a cleared key range may get a new owner, as far as is known."""
+        fence = self._fences.get(number)
+        fence_end_ns = state.now_ns if fence is None else fence.end_ns(state, budget)
+        return max(fence_end_ns, self._lease_ends_ns.get(number, state.now_ns))
+
+
+def _usable_entries(key_range: KeyRange, loads: KeyRangeLoads) -> dict[str, float]:
+    """Return the entries whose endpoints are ready."""
+    return {name: weight for name, weight in key_range.entries.items() if loads.is_ready(name)}
+
+
+def _write_entries(
+    state: PolicyState, budget: EgressBudget, key_range: KeyRange, entries: dict[str, float], kind: PushKind
+) -> Reservation:
+    """Write the changed entries of a key range, new ones first, if the budget allows it."""
+    before = key_range.entries
+    changed = [name for name in [*entries, *before] if entries.get(name) != before.get(name)]
+    reservation = budget.reserve(state, state.proxies, len(changed), kind)
+    if reservation is Reservation.GRANTED:
         for name in changed:
-            if name in kept or not state.settings.single_owner:
-                state.commands.set_weight(key_range, name, kept.get(name, 0))
+            state.commands.set_weight(key_range.number, name, entries.get(name, 0))
+    return reservation
--- a/swiftchute/policy/reconciler.py
+++ b/swiftchute/policy/reconciler.py
@@ -43,6 +43,7 @@
 EVALUATION_INTERVAL_NS = 1 * NS_PER_S  # reports lag: more frequent evaluations would act on some twice
 TIMER_INTERVAL_NS = 100 * NS_PER_MS  # longest time between rounds while there are proxies or a pending retry
 TIMER_ID = 1
+FENCE_TIMER_ID = 2
 
 
 class Reconciler:
@@ -69,6 +70,7 @@
         self.ejections = Ejections()
         self._evaluated_at_ns = 0
         self._timer_running = False
+        self._fence_timer_ns: int | None = None  # when the latest timer for a fence fires
         self._handlers = self._event_handlers()
 
     def reconcile(self, now_ns: int, events: Sequence[Event], commands: CommandSink) -> None:
@@ -84,21 +86,39 @@
         for event in events:
             self._handlers[type(event)](event)
         self.endpoint_list.subscribe_if_due(self.state)
+        evaluation_due = self.state.now_ns - self._evaluated_at_ns >= EVALUATION_INTERVAL_NS
+        if evaluation_due:
+            self._evaluated_at_ns = self.state.now_ns
         if self.state.settings.key_range_count:
-            self.key_ranges.assign_endpoints(self.state)
+            self._update_key_ranges(evaluation_due)
         else:
-            self._update_tables(events)
+            self._update_tables(events, evaluation_due)
             self._publish()
         self._start_timer()
 
-    def _update_tables(self, events: Sequence[Event]) -> None:
+    def _update_key_ranges(self, evaluation_due: bool) -> None:
+        """Write due changes of key ranges, within the egress budget."""
+        if evaluation_due:
+            self.budget.update_channel_speed(self.state)
+        self.key_ranges.update(self.state, self.budget)
+        self.budget.end_round(self.state)
+        self._start_fence_timer()
+
+    def _start_fence_timer(self) -> None:
+        """Start a timer for a fence that ends before the ordinary timer fires."""
+        due_ns = self.key_ranges.next_due_ns(self.state, self.budget)
+        if due_ns is None or due_ns == self._fence_timer_ns:
+            return
+        if 0 < due_ns - self.state.now_ns < TIMER_INTERVAL_NS:
+            self._fence_timer_ns = due_ns
+            self.state.commands.start_timer(due_ns - self.state.now_ns, FENCE_TIMER_ID)
+
+    def _update_tables(self, events: Sequence[Event], evaluation_due: bool) -> None:
         """Run an evaluation if one is due, and recompute the desired tables after it or a list update."""
-        evaluation_due = self.state.now_ns - self._evaluated_at_ns >= EVALUATION_INTERVAL_NS
         if not evaluation_due and not any(isinstance(event, EndpointListUpdate) for event in events):
             return
         form_subsets(self.state)
         if evaluation_due:
-            self._evaluated_at_ns = self.state.now_ns
             self._evaluate()
         compute_desired_tables(self.state)
 
@@ -124,7 +144,9 @@
 
     def _start_timer(self) -> None:
         """Start the timer unless it runs already or nothing can become due."""
-        waiting = self.state.proxies or self.endpoint_list.retry_at_ns is not None
+        waiting = (
+            self.state.proxies or self.key_ranges.is_waiting or self.endpoint_list.retry_at_ns is not None
+        )
         if waiting and not self._timer_running:
             self._timer_running = True
             self.state.commands.start_timer(TIMER_INTERVAL_NS, TIMER_ID)
@@ -132,7 +154,7 @@
     def _event_handlers(self) -> dict[type[Event], Callable[[Any], None]]:
         state = self.state
         return {
-            EndpointListUpdate: lambda event: self.endpoint_list.apply(state, event),
+            EndpointListUpdate: self._on_list_update,
             ProxyConnected: self._on_proxy_connected,
             ProxyDisconnected: lambda event: self._disconnect(event.proxy),
             EndpointLoadReport: lambda event: record_load_report(state, event),
@@ -140,7 +162,7 @@
             PushAcknowledged: lambda event: self.budget.on_push_acknowledged(state, event),
             EgressQueueObserved: self.budget.on_egress_queue_observed,
             TimerFired: self._on_timer_fired,
-            KeyRangeAssigned: self.key_ranges.on_assigned,
+            KeyRangeAssigned: lambda event: self.key_ranges.on_assigned(state, event),
             KeyRangeRevoked: self.key_ranges.on_revoked,
             KeyRangeEntryRestored: self.key_ranges.on_entry_restored,
             # these events change nothing
@@ -149,8 +171,13 @@
             PeerMessageReceived: _ignore,
         }
 
+    def _on_list_update(self, event: EndpointListUpdate) -> None:
+        self.endpoint_list.apply(self.state, event)
+        self.key_ranges.on_list_update()
+
     def _on_proxy_connected(self, event: ProxyConnected) -> None:
         self._disconnect(event.proxy)
+        self.key_ranges.on_proxy_connected(event.proxy)
         self.state.proxies[event.proxy] = Proxy(event.zone, event.request_rate)
 
     def _disconnect(self, proxy: ProxyId) -> None:
@@ -158,9 +185,11 @@
         known = self.state.proxies.pop(proxy, None)
         if known is not None:
             self.budget.release(known)
+            self.key_ranges.on_proxy_lost(self.state, proxy)
 
     def _on_timer_fired(self, event: TimerFired) -> None:
-        self._timer_running = False
+        if event.timer_id == TIMER_ID:
+            self._timer_running = False
 
 
 def _ignore(event: Event) -> None:
--- a/swiftchute/simulator/codec.py
+++ b/swiftchute/simulator/codec.py
@@ -181,6 +181,8 @@
         "proxy_count": specifics["agents"],
         "key_range_count": specifics["ranges"],
         "single_owner": bool(specifics["single_writer"]),
+        "owner_lease_ns": (specifics.get("lease_us") or 0) * NS_PER_US,
+        "write_lifetime_ns": (specifics.get("write_life_us") or 0) * NS_PER_US,
         "admission_mode": _ADMISSION_MODES.get(admission, admission),
         "default_retry_policy": specifics["base_mode"],
         "attempt_timeout_objectives": specifics["per_try"],
--- a/tests/policy/test_key_ranges.py
+++ b/tests/policy/test_key_ranges.py
@@ -1,7 +1,5 @@
 """Commands for key ranges: which endpoint owns a range, and what is written when one drains or is removed."""
 
-import pytest
-
 from swiftchute.api.endpoints import ListScope
 from swiftchute.api.events import (
     EndpointListUpdate,
@@ -59,31 +57,52 @@
     [(3, "d", 1), (3, "c", 0)],
     [],
     [],
-    [(1, "e", 1), (1, "d", 0), (3, "f", 1), (3, "d", 0), (4, "e", 1), (4, "d", 0), (5, "f", 1), (5, "d", 0)],
+    [(1, "e", 1), (1, "d", 0), (4, "f", 1), (4, "d", 0), (5, "e", 1), (5, "d", 0), (3, "f", 1), (3, "d", 0)],
     [(1, "e", 1)],
 ]  # fmt: skip
 TIMER_ROUNDS, LOG_ROUNDS = [3, 7], [10, 11]
+# With a single owner: tables are cleared first; a key range without an owner waits for a lease of 1.02 s.
+EXPECTED_CLEARED = {6: [5], 8: [4], 9: [3]}
+EXPECTED_OWNERS = {12: [(1, "e", 1)]}
+SINGLE_OWNER_TIMERS = {1: [(100_000_000, 1)], 7: [(100_000_000, 1)], 10: [(20_000_000, 2)]}
 
 
-@pytest.mark.parametrize("single_owner", [False, True])
-def test_commands_for_a_fixed_list_of_key_range_events(make_harness, single_owner):
-    harness = make_harness(key_range_count=5, single_owner=single_owner)
+def run_fixed_rounds(harness):
+    """Play the fixed events; yield the number of each round and its commands but for log lines."""
     for number, events in enumerate(rounds(harness)):
         written = harness.run_round(*events, wait_s=0.1).all
-        # with a single owner a new entry replaces the old one, so no removal is written
-        weights = [entry for entry in EXPECTED_ENTRIES[number] if entry[2] or not single_owner]
-        timers = [("start_timer", (100_000_000, 1))] if number in TIMER_ROUNDS else []
-        assert [command for command in written if command[0] != "log"] == [
-            *(("set_weight", entry) for entry in weights),
-            *timers,
-        ]
         assert [verb for verb, _ in written].count("log") == (number in LOG_ROUNDS)
+        yield number, [command for command in written if command[0] != "log"]
+
+
+def test_commands_for_a_fixed_list_of_key_range_events(make_harness):
+    nonce = 0
+    for number, written in run_fixed_rounds(make_harness(key_range_count=5)):
+        expected = [("set_weight", entry) for entry in EXPECTED_ENTRIES[number]]
+        if expected and number >= 3:  # a proxy is connected
+            nonce += 1
+            expected.append(("request_ack", (nonce, False)))
+        if number in TIMER_ROUNDS:
+            expected.append(("start_timer", (100_000_000, 1)))
+        assert written == expected
+
+
+def test_commands_for_a_fixed_list_of_key_range_events_with_a_single_owner(make_harness):
+    nonce = 0
+    for number, written in run_fixed_rounds(make_harness(key_range_count=5, single_owner=True)):
+        expected = [("clear_table", (key_range,)) for key_range in EXPECTED_CLEARED.get(number, ())]
+        expected += [("set_weight", entry) for entry in EXPECTED_OWNERS.get(number, ())]
+        if expected:
+            nonce += 1
+            expected.append(("request_ack", (nonce, False)))
+        expected += [("start_timer", timer) for timer in SINGLE_OWNER_TIMERS.get(number, ())]
+        assert written == expected
 
 
 def test_key_ranges_write_no_tables_and_assign_no_proxies(make_harness):
     harness = make_harness(key_range_count=5)
     verbs = {verb for events in rounds(harness) for verb, _ in harness.run_round(*events, wait_s=1.5).all}
-    assert verbs == {"set_weight", "start_timer", "subscribe", "log"}
+    assert verbs == {"set_weight", "request_ack", "start_timer", "subscribe", "log"}
 
 
 def test_key_range_keeps_its_entry_until_the_endpoint_drains(make_harness):
@@ -91,5 +110,7 @@
     records = [harness.endpoint("e0"), harness.endpoint("e1")]
     events = [KeyRangeAssigned(1), KeyRangeEntryRestored(1, "e0", 1.0)]
     assert harness.run_round(EndpointListUpdate(ListScope.CACHED, records), *events).of("set_weight") == []
-    commands = harness.run_round(list_changes([harness.endpoint("e0", state="draining")]))
-    assert commands.of("set_weight") == [(1, "e1", 1)]
+    drain = list_changes([harness.endpoint("e0", state="draining")])
+    commands = harness.run_round(drain, wait_s=2)  # after the lease that its assignment started
+    assert commands.of("clear_table") == [(1,)]
+    assert harness.run_round().of("set_weight") == [(1, "e1", 1)]
--- a/tests/support/settings.py
+++ b/tests/support/settings.py
@@ -25,6 +25,8 @@
     "proxy_count": 4,
     "key_range_count": 0,
     "single_owner": False,
+    "owner_lease_ns": NS_PER_S,
+    "write_lifetime_ns": NS_PER_S // 50,
     "admission_mode": "share",
     "default_retry_policy": 1,
     "attempt_timeout_objectives": 1.0,
