Take key ranges away from draining endpoints also while no other is ready

If all endpoints drain or are gone, their key ranges stay with them, and proxies go on sending past the drain grace. Cause: the round ended early without a ready endpoint. Change: entries of endpoints that are not ready are removed in any case; the key range gets an endpoint once there is one.

--- a/swiftchute/policy/key_range_load.py
+++ b/swiftchute/policy/key_range_load.py
@@ -119,6 +119,11 @@
             return False
         return self.utilization(target, self.load_of_range[key_range.number]) <= 1
 
+    @property
+    def has_ready_endpoint(self) -> bool:
+        """Whether any endpoint may receive requests."""
+        return bool(self._ready)
+
     def is_ready(self, endpoint: str) -> bool:
         """Return whether an endpoint may receive requests."""
         return endpoint in self._ready
@@ -130,7 +135,7 @@
         """
         warming = self._warming_endpoints()
         fair_utilization = 1.0
-        if len(warming) == len(self._ready):
+        if warming and len(warming) == len(self._ready):
             fair_utilization = max(self._mean_utilization(), 1.0)
         excess = set()
         for name in warming:
--- a/swiftchute/policy/key_ranges.py
+++ b/swiftchute/policy/key_ranges.py
@@ -88,22 +88,18 @@
         return min((self._may_assign_ns(state, budget, number) for number in unserved), default=None)
 
     def update(self, state: PolicyState, budget: EgressBudget, evaluation_due: bool) -> None:
-        """Replace endpoints that must not serve key ranges any more, and relocate key ranges if due.
-
-        If no endpoint is ready, all entries stay.
-        """
+        """Replace endpoints that must not serve key ranges any more, and relocate key ranges if due."""
         for fence in set(self._fences.values()):
             fence.on_acknowledgements(state)
         if not self._ranges or (self._is_settled and not evaluation_due):
             return
         ready = state.ready_endpoints()
         self._full_weight = max(self._full_weight, sum(e.listed_weight for e in ready.values()))
-        if not ready:
-            self._is_settled = True
-            return
         self._round_fence = None
         loads = KeyRangeLoads(state, self._ranges.values(), self._full_weight)
         self._is_settled = self._replace_unusable_endpoints(state, budget, loads)
+        if not ready:
+            return
         if evaluation_due and self._is_settled:
             self._relocate_displaced(state, budget, loads)
         if not self._update_admission(state, budget, loads):
@@ -131,7 +127,10 @@
             reservation = self._replace(state, budget, loads, key_range, usable, PushKind.URGENT)
             if reservation not in (Reservation.GRANTED, None):
                 break  # the others go to the same proxies
-        return all(key_range.unserved_since_ns is None for key_range in self._ranges.values())
+        return all(
+            key_range.unserved_since_ns is None or not (loads.has_ready_endpoint or key_range.entries)
+            for key_range in self._ranges.values()
+        )
 
     def _replace(
         self,
@@ -142,20 +141,24 @@
         usable: dict[str, float],
         kind: PushKind,
     ) -> Reservation | None:
-        """Take the next step to other entries; return None if it has to wait for a fence."""
+        """Take the next step to other entries; return None if it has to wait for a fence or an endpoint."""
+        if not key_range.entries and not loads.has_ready_endpoint:
+            return None
         if state.settings.single_owner and key_range.entries:
             return self._clear(state, budget, loads, key_range, kind)
         if state.settings.single_owner and state.now_ns < self._may_assign_ns(
             state, budget, key_range.number
         ):
             return None
-        entries = usable or {loads.best_endpoint(key_range): ENTRY_WEIGHT}
+        entries = usable
+        if not usable and loads.has_ready_endpoint:
+            entries = {loads.best_endpoint(key_range): ENTRY_WEIGHT}
         reservation = _write_entries(state, budget, key_range, entries, kind)
         if reservation is Reservation.GRANTED:
             key_range.former_owners |= key_range.entries.keys() - entries.keys()
             loads.move(key_range, entries)
             key_range.is_displaced = any(loads.utilization(name) > 1 for name in entries)
-            key_range.unserved_since_ns = None
+            key_range.unserved_since_ns = None if entries else key_range.unserved_since_ns
             self._fences.pop(key_range.number, None)
         return reservation
 
@@ -233,7 +236,10 @@
 def _write_entries(
     state: PolicyState, budget: EgressBudget, key_range: KeyRange, entries: dict[str, float], kind: PushKind
 ) -> Reservation:
-    """Write the changed entries of a key range, new ones first, if the budget allows it."""
+    """Write the changed entries of a key range, new ones first, if the budget allows it.
+
+    Without any entry left, proxies send nothing to endpoints that must not receive requests.
+    """
     before = key_range.entries
     changed = [name for name in [*entries, *before] if entries.get(name) != before.get(name)]
     reservation = budget.reserve(state, state.proxies, len(changed), kind)
--- a/tests/policy/test_key_range_load.py
+++ b/tests/policy/test_key_range_load.py
@@ -98,3 +98,18 @@
     harness.run_round(KeyRangeEntryRestored(1, "e0", 0.5))
     changes = list_changes([harness.endpoint("e1", state="draining")])
     assert harness.run_round(changes).of("set_weight") == [(1, "e1", 0), (3, "e0", 1), (3, "e1", 0)]
+
+
+@pytest.mark.parametrize("single_owner", [False, True])
+def test_key_ranges_leave_the_last_endpoint_when_it_drains(single_owner):
+    """Guards against requests to a draining endpoint for as long as no other one is ready."""
+    fleet = KeyRangeFleet(single_owner=single_owner)
+    fleet.run(2)
+    for name in list(fleet.states):
+        fleet.change(name, "draining")
+    fleet.run(5)
+    assert not key_ranges_by_endpoint(fleet)
+    fleet.change("n0", "ready")
+    fleet.run(3)
+    assert key_ranges_by_endpoint(fleet) == {"n0": 12}
+    assert [violation for violation in fleet.violations if violation[1] == "drain"] == []
