Bound the unfinished messages of all clients of the platform together

Cause: an unfinished message was limited for each client (1 MiB), not for all. A report with 90,000 load figures (one line of 1 MiB) was kept as an object until the next round: 396 MB with one collector at full speed. Change: ingress/receive_budget.py counts the unfinished bytes of all clients, an eighth of limits.memory_mb at most (24 MB of 192). Past it the clients whose messages began first are closed with an error; one that sends without stopping has an unfinished message for a moment only.

--- /dev/null
+++ b/swiftchute/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on what clients may use up together: bytes of unfinished messages."""
--- a/swiftchute/platform/server.py
+++ b/swiftchute/platform/server.py
@@ -18,6 +18,7 @@
 
 from swiftchute.controller.policy_runner import PolicyRunner
 from swiftchute.discovery.start_times import StartTimes
+from swiftchute.ingress.receive_budget import ReceiveBudget
 from swiftchute.platform import connection_limits, settings
 from swiftchute.platform.discovery_client import DiscoveryClient, DiscoveryConnection, OpenConnection
 from swiftchute.platform.discovery_watch import MAX_DELIVERY_DELAY_NS
@@ -73,6 +74,9 @@
         self.discovery = DiscoveryClient(self.endpoint_list, random.Random(configuration.seed))
         self._start_times = StartTimes(MAX_DELIVERY_DELAY_NS)
         self.clients: set[ClientTransport] = set()
+        self.receive_budget: ReceiveBudget[ClientTransport] = ReceiveBudget(
+            connection_limits.max_unfinished_bytes(configuration.max_memory_mb)
+        )
         self._schedule = RoundSchedule()
         self._requested_round_timer: asyncio.TimerHandle | None = None
         self._idle_round_timer: asyncio.TimerHandle | None = None
@@ -253,6 +257,7 @@
             **self.sessions.ledger.log_fields,
             endpoints=len(self.runner.endpoint_records),
             reportable=len(self.sessions.reportable_endpoints),
+            unfinished_evicted=self.receive_budget.evicted,
             stale_lines=self.endpoint_list.stale_lines,
             cpu_ms=time.process_time_ns() // NS_PER_MS,
             round_cpu_ms=self._total_round_cpu_ns // NS_PER_MS,
@@ -299,5 +304,6 @@
         self.log("reloaded", discovery=f"{host}:{port}")
         self.configuration = configuration
         self.sessions.max_sockets = self._usable_sockets()
+        self.receive_budget.limit_bytes = connection_limits.max_unfinished_bytes(configuration.max_memory_mb)
         self.discovery.set_address(configuration.discovery, self.clock())
         self.run_discovery_commands()
--- a/swiftchute/platform/settings.py
+++ b/swiftchute/platform/settings.py
@@ -16,6 +16,8 @@
 
 MAX_FILE_BYTES = 16 << 20
 MIN_SOCKETS = 64
+DEFAULT_MEMORY_MB = 192
+MIN_MEMORY_MB = 16
 DEFAULT_SOCKETS = 1024
 MAX_SHOWN_CHARACTERS = 64  # limit for a value in an error text
 MAX_CAUSE_CHARACTERS = 200  # limit for the JSON decoder's message in an error text
@@ -32,6 +34,7 @@
     discovery: Address
     seed: int
     max_sockets: int
+    max_memory_mb: float
     known_list: bytes | None  # an endpoint list in the format of a discovery line
     settings: Settings
 
@@ -99,6 +102,9 @@
     max_sockets = _field(path, limits, "sockets", int, DEFAULT_SOCKETS, "limits.")
     if max_sockets < MIN_SOCKETS:
         raise SettingsError(f"{path}: limits.sockets: {max_sockets} is less than {MIN_SOCKETS}")
+    max_memory_mb = _field(path, limits, "memory_mb", int | float, DEFAULT_MEMORY_MB, "limits.")
+    if max_memory_mb < MIN_MEMORY_MB:
+        raise SettingsError(f"{path}: limits.memory_mb: {max_memory_mb} is less than {MIN_MEMORY_MB}")
     known = data.get("known")
     return Configuration(
         seed=_seed(path, data.get("seed", "0")),
@@ -106,6 +112,7 @@
         listen=_address(path, data, "listen"),
         discovery=_address(path, data, "discovery"),
         max_sockets=max_sockets,
+        max_memory_mb=max_memory_mb,
         known_list=None if known is None else json.dumps(known).encode(),
         settings=settings_schema.read_settings(path, _field(path, data, "settings", dict)),
     )
@@ -120,14 +127,16 @@
 
 
 def _field(
-    path: str, data: dict[str, Any], name: str, kind: type, default: Any = None, parent: str = ""
+    path: str, data: dict[str, Any], name: str, kind: Any, default: Any = None, parent: str = ""
 ) -> Any:
     value = data.get(name, default)
     if value is None:
         raise SettingsError(f"{path}: {parent}{name}: missing")
     if not isinstance(value, kind) or isinstance(value, bool):
         shown = str(value)[:MAX_SHOWN_CHARACTERS]
-        raise SettingsError(f"{path}: {parent}{name}: {shown!r} is not of type {kind.__name__}")
+        raise SettingsError(
+            f"{path}: {parent}{name}: {shown!r} is not of type {getattr(kind, '__name__', kind)}"
+        )
     return value
 
 
--- a/swiftchute/platform/transports.py
+++ b/swiftchute/platform/transports.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from swiftchute.ingress.receive_budget import ReceiveBudget
 from swiftchute.platform.connection_limits import CLOSE_TIMEOUT_S, MAX_UNSENT_BYTES
 from swiftchute.platform.discovery_client import DiscoveryClient, DiscoveryConnection
 from swiftchute.platform.endpoint_list import ListUpdate
@@ -22,6 +23,7 @@
     sessions: SessionManager
     discovery: DiscoveryClient
     clients: "set[ClientTransport]"
+    receive_budget: "ReceiveBudget[ClientTransport]"
 
     @property
     def stopping(self) -> bool:
@@ -69,6 +71,8 @@
         if self.owner.stopping:
             return
         self.session.receive_data(data, self.owner.clock())
+        for other in self.owner.receive_budget.update(self, len(self.session.unparsed)):
+            other.discard_unfinished_message()
         if self.session.end_cause is not None:
             self.close()
         else:
@@ -83,6 +87,12 @@
         if self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.abort_connection()
 
+    def discard_unfinished_message(self) -> None:
+        """Close the connection, as the unfinished messages of all clients take too much memory."""
+        self.session.unparsed.clear()
+        self.session.end("unfinished messages of all clients take too much memory")
+        self.close()
+
     def abort_connection(self) -> None:
         """Abort the connection; unsent bytes are discarded."""
         if self in self.owner.clients:
@@ -109,6 +119,7 @@
         if self not in self.owner.clients:
             return
         self.owner.clients.remove(self)
+        self.owner.receive_budget.release(self)
         self.owner.sessions.session_closed(self.session, self.session.end_cause or _closing_cause(error))
         self.owner.on_input()
         self.owner.on_client_closed()
--- a/swiftchute/platform/wire_messages.py
+++ b/swiftchute/platform/wire_messages.py
@@ -13,6 +13,7 @@
 from swiftchute.platform.errors import MalformedMessageError, UnreadableMessageError
 
 MAX_MESSAGE_BYTES = 1 << 20  # a limit of the protocol
+MAX_LOAD_FIGURES = 64  # in one report; the protocol has six
 MAX_CAUSE_CHARACTERS = 200  # limit for a cause that is sent to the client
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000_000)]
@@ -60,7 +61,9 @@
     failures: Count = msgspec.field(name="failed")
     window_ms: Amount = msgspec.field(name="span_ms")
     mean_latency_ms: Amount | None = msgspec.field(name="mean_ms", default=None)
-    load: dict[str, float] | None = None  # load figures reported by the endpoint itself
+    load: Annotated[dict[str, float], msgspec.Meta(max_length=MAX_LOAD_FIGURES)] | None = (
+        None  # load figures reported by the endpoint itself
+    )
 
 
 class ProxyDemand(_Message, tag="demand", frozen=True):
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -8,8 +8,8 @@
 ROOT = Path(__file__).parent.parent
 # From the lowest layer up: a package imports only packages listed before it.
 LAYERS = (
-    "api", "policy", "discovery", "safety", "versions", "controller", "simulator", "xds", "dns", "proxy",
-    "admin",
+    "api", "ingress", "policy", "discovery", "safety", "versions", "controller", "simulator", "xds", "dns",
+    "proxy", "admin",
     "platform", "observability", "config", "daemon", "fakes", "drill", "cli", "__main__",
 )  # fmt: skip
 
