Share the turns of the platform's event loop between its connections

Cause: all bytes of a read, and as many reads as the event loop makes in a row, were handled before anybody else's. 256 KiB of small lines take a second. While bytes wait, the socket is not read. A client whose bytes wait is not taken for silent. What a client sent before it left is still handled, as before.

--- /dev/null
+++ b/swiftchute/ingress/fair_protocol.py
@@ -0,0 +1,171 @@
+"""An asyncio protocol that passes received bytes on to another one in slices, as a scheduler allows.
+
+While bytes wait, the socket is not read, so each connection holds one read buffer at most. The wrapped
+protocol is used as with any transport, and must accept data that is split at any place.
+"""
+
+import asyncio
+from typing import Any
+
+from swiftchute.ingress.turn_scheduler import SLICE_NS, TurnScheduler
+
+READ_BUFFER_BYTES = 16 * 1024
+PIECE_BYTES = 2 * 1024  # passed on in one call; the time is checked after each
+
+_read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # of all connections: copied before the next read
+
+
+class GatedTransport:
+    """A transport whose reading is paused while either the protocol or the scheduler wants it."""
+
+    def __init__(self, transport: Any, connection: "FairProtocol") -> None:
+        """Wrap the transport of a connection."""
+        self._transport = transport
+        self._connection = connection
+
+    def __getattr__(self, name: str) -> Any:
+        """Return an attribute of the wrapped transport."""
+        return getattr(self._transport, name)
+
+    @property
+    def has_waiting_input(self) -> bool:
+        """Whether received bytes wait to be passed on."""
+        return self._connection.has_waiting_input
+
+    def pause_reading(self) -> None:
+        """Pass no more received bytes to the protocol."""
+        self._connection.set_protocol_paused(True)
+
+    def resume_reading(self) -> None:
+        """Pass received bytes to the protocol again."""
+        self._connection.set_protocol_paused(False)
+
+
+class FairProtocol(asyncio.BufferedProtocol):
+    """Passes the bytes of one connection on to a protocol.
+
+    Attributes:
+        used_ns: Time that the protocol has used, for the scheduler.
+    """
+
+    def __init__(self, scheduler: TurnScheduler, protocol: Any, finish_waiting: bool = False) -> None:
+        """Wrap a protocol.
+
+        Args:
+            scheduler: Decides when bytes are passed on.
+            protocol: The wrapped protocol.
+            finish_waiting: Whether bytes that wait when the connection ends are still passed on before the
+                protocol is told; otherwise they are discarded.
+        """
+        self.used_ns = 0
+        self._scheduler = scheduler
+        self._protocol = protocol
+        self._finish_waiting = finish_waiting
+        self._transport: Any = None
+        self._waiting = b""
+        self._is_queued = False
+        self._socket_paused = False
+        self._protocol_paused = False
+        self._is_lost = False
+        self._lost_cause: Exception | None = None
+        self._end_is_due = False  # the protocol has not been told of the loss yet
+
+    @property
+    def has_waiting_input(self) -> bool:
+        """Whether received bytes wait to be passed on."""
+        return bool(self._waiting)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Tell the protocol, with a transport that the scheduler can pause as well."""
+        self._transport = transport
+        self._protocol.connection_made(GatedTransport(transport, self))
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer to read into."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Pass received bytes on, or let them wait."""
+        self._waiting += bytes(_read_buffer[:nbytes])
+        if not self._is_queued and not self._protocol_paused and self._scheduler.may_run():
+            self.run_slice()
+        else:
+            self._wait()
+
+    def eof_received(self) -> bool | None:
+        """Tell the protocol; no bytes wait, as the socket is not read while some do."""
+        return self._protocol.eof_received()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the protocol, after the waiting bytes if they are to be passed on."""
+        self._is_lost, self._lost_cause = True, exc
+        self._end_is_due = True
+        if self._finish_waiting and self._waiting:
+            self._protocol_paused = False
+            self._wait()
+        else:
+            self._waiting = b""
+            self._end_protocol()
+
+    def pause_writing(self) -> None:
+        """Tell the protocol."""
+        self._protocol.pause_writing()
+
+    def resume_writing(self) -> None:
+        """Tell the protocol."""
+        self._protocol.resume_writing()
+
+    def run_slice(self) -> None:
+        """Pass waiting bytes on until a slice is over."""
+        self._is_queued = False
+        data, self._waiting = memoryview(self._waiting), b""
+        start_ns = self._scheduler.clock()
+        elapsed_ns = 0
+        try:
+            while data and not self._protocol_paused and elapsed_ns < SLICE_NS:
+                self._protocol.data_received(bytes(data[:PIECE_BYTES]))
+                data = data[PIECE_BYTES:]
+                elapsed_ns = self._scheduler.clock() - start_ns
+        except Exception:
+            data = data[:0]
+            self._transport.abort()
+            raise
+        finally:
+            self._waiting = bytes(data)
+            self._scheduler.charge(self, elapsed_ns)
+        if self._waiting:
+            self._wait()
+        elif self._end_is_due:
+            self._end_protocol()
+        else:
+            self._update_socket()
+
+    def set_protocol_paused(self, paused: bool) -> None:
+        """Stop or continue to pass bytes on, for the protocol."""
+        self._protocol_paused = paused
+        if not paused and self._waiting:
+            self._wait()
+        else:
+            self._update_socket()
+
+    def _wait(self) -> None:
+        """Let the waiting bytes wait for the scheduler, or for the protocol if that has paused."""
+        self._update_socket()
+        if not self._is_queued and not self._protocol_paused:
+            self._is_queued = True
+            self._scheduler.enqueue(self, len(self._waiting))
+
+    def _end_protocol(self) -> None:
+        self._end_is_due = False
+        self._protocol.connection_lost(self._lost_cause)
+
+    def _update_socket(self) -> None:
+        """Read the socket if nothing waits and the protocol has not paused."""
+        should_pause = bool(self._waiting) or self._protocol_paused
+        if should_pause == self._socket_paused or self._is_lost or self._transport.is_closing():
+            return
+        self._socket_paused = should_pause
+        if should_pause:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
--- a/swiftchute/platform/proxy_session.py
+++ b/swiftchute/platform/proxy_session.py
@@ -96,6 +96,11 @@
         """When the oldest pending nonce was sent, or None if there is none."""
         return self.pending_nonces[0].sent_at_ns if self.pending_nonces else None
 
+    def input_waits(self, now_ns: int) -> None:
+        """Take note that received bytes wait to be handled, so that the client is not taken for silent."""
+        self.last_received_ns = now_ns
+        self.join_overdue = False
+
     def receive_data(self, data: bytes, now_ns: int) -> None:
         """Handle received bytes, split at any place."""
         if self.end_cause is not None:
--- a/swiftchute/platform/server.py
+++ b/swiftchute/platform/server.py
@@ -18,7 +18,9 @@
 
 from swiftchute.controller.policy_runner import PolicyRunner
 from swiftchute.discovery.start_times import StartTimes
+from swiftchute.ingress.fair_protocol import FairProtocol
 from swiftchute.ingress.receive_budget import ReceiveBudget
+from swiftchute.ingress.turn_scheduler import TurnScheduler
 from swiftchute.platform import connection_limits, settings
 from swiftchute.platform.discovery_client import DiscoveryClient, DiscoveryConnection, OpenConnection
 from swiftchute.platform.discovery_watch import MAX_DELIVERY_DELAY_NS
@@ -47,6 +49,7 @@
     """One running instance."""
 
     event_loop: asyncio.AbstractEventLoop
+    turns: TurnScheduler
 
     def __init__(
         self,
@@ -109,6 +112,7 @@
             SettingsError: The listening address cannot be used.
         """
         self.event_loop = asyncio.get_running_loop()
+        self.turns = TurnScheduler(time.perf_counter_ns, self.event_loop.call_soon)
         stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             self.event_loop.add_signal_handler(number, stop.set)
@@ -130,7 +134,7 @@
     async def _listen(self) -> asyncio.Server:
         host, port = self.configuration.listen
         listener = await self.event_loop.create_server(
-            lambda: ClientTransport(self),
+            lambda: FairProtocol(self.turns, ClientTransport(self), finish_waiting=True),
             sock=await self._open_listening_socket(),
             backlog=connection_limits.LISTEN_BACKLOG,
         )
@@ -237,6 +241,9 @@
         if self.stopping:
             return
         now_ns = self.clock()
+        for client in self.clients:
+            if client.has_waiting_input:
+                client.session.input_waits(now_ns)
         self.sessions.check_timeouts(now_ns)
         for update in self.discovery.check_timeouts(now_ns):
             self.on_list_update(update)
--- a/swiftchute/platform/transports.py
+++ b/swiftchute/platform/transports.py
@@ -8,7 +8,9 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from swiftchute.ingress.fair_protocol import FairProtocol
 from swiftchute.ingress.receive_budget import ReceiveBudget
+from swiftchute.ingress.turn_scheduler import TurnScheduler
 from swiftchute.platform.connection_limits import CLOSE_TIMEOUT_S, MAX_UNSENT_BYTES
 from swiftchute.platform.discovery_client import DiscoveryClient, DiscoveryConnection
 from swiftchute.platform.endpoint_list import ListUpdate
@@ -23,6 +25,7 @@
     sessions: SessionManager
     discovery: DiscoveryClient
     clients: "set[ClientTransport]"
+    turns: TurnScheduler
     receive_budget: "ReceiveBudget[ClientTransport]"
 
     @property
@@ -55,6 +58,11 @@
         """Create the protocol of a connection that is not accepted yet."""
         self.owner = owner
 
+    @property
+    def has_waiting_input(self) -> bool:
+        """Whether received bytes wait for their turn."""
+        return self.transport.has_waiting_input
+
     def connection_made(self, transport: Any) -> None:
         """Start the session."""
         self.transport = transport
@@ -138,7 +146,9 @@
     async def _connect(self) -> None:
         host, port = self.connection.address
         try:
-            await self.owner.event_loop.create_connection(lambda: self, host, port)
+            await self.owner.event_loop.create_connection(
+                lambda: FairProtocol(self.owner.turns, self, finish_waiting=True), host, port
+            )
         except OSError as error:
             self.owner.on_discovery_closed(self.connection, f"{type(error).__name__}: {error}")
 
--- /dev/null
+++ b/tests/ingress/test_turn_scheduler.py
@@ -0,0 +1,142 @@
+"""Turns of the event loop: who waits for whom when clients send at full speed."""
+
+from swiftchute.ingress.fair_protocol import PIECE_BYTES, READ_BUFFER_BYTES, FairProtocol
+from swiftchute.ingress.turn_scheduler import SLICE_NS, TURN_NS, TurnScheduler
+
+
+class Loop:
+    """A clock, and an event loop of which `turn` runs one iteration."""
+
+    def __init__(self):
+        self.now_ns, self.callbacks = 0, []
+        self.scheduler = TurnScheduler(lambda: self.now_ns, self.callbacks.append)
+
+    def turn(self):
+        callbacks, self.callbacks[:] = self.callbacks[:], []
+        for callback in callbacks:
+            callback()
+
+
+class Transport:
+    """A socket; `reading` tells whether it is read."""
+
+    def __init__(self):
+        self.reading, self.aborted = True, False
+
+    def pause_reading(self):
+        self.reading = False
+
+    def resume_reading(self):
+        self.reading = True
+
+    def is_closing(self):
+        return self.aborted
+
+    def abort(self):
+        self.aborted = True
+
+
+class Handler:
+    """A protocol that takes a time for each piece that it receives."""
+
+    def __init__(self, loop, cost_ns=SLICE_NS):
+        self.loop, self.cost_ns, self.received, self.lost, self.times_ns = loop, cost_ns, b"", False, []
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        assert not self.lost
+        self.loop.now_ns += self.cost_ns
+        self.received += data
+        self.times_ns.append(self.loop.now_ns)
+
+    def connection_lost(self, error):
+        self.lost = True
+
+
+def connected(loop, **options):
+    """Return a handler and its connection."""
+    handler = Handler(loop)
+    connection = FairProtocol(loop.scheduler, handler, **options)
+    connection.connection_made(Transport())
+    return handler, connection
+
+
+def receive(connection, data):
+    connection.get_buffer(-1)[: len(data)] = data
+    connection.buffer_updated(len(data))
+
+
+def test_a_bystander_waits_for_one_slice_at_most_beside_many_clients_at_full_speed():
+    """Guards against a client whose bytes are handled only after all those of clients at full speed."""
+    loop = Loop()
+    busy = [connected(loop) for _ in range(100)]
+    for _ in range(3):
+        for _, connection in busy:
+            if connection._transport.reading:
+                receive(connection, bytes(READ_BUFFER_BYTES))
+        loop.turn()
+    bystander, connection = connected(loop)
+    receive(connection, b"probe")
+    start_ns = loop.now_ns
+    loop.turn()
+    assert bystander.times_ns[0] - start_ns <= SLICE_NS + bystander.cost_ns
+    assert loop.now_ns - start_ns <= TURN_NS + SLICE_NS
+    assert not any(connection._transport.reading for _, connection in busy)
+
+
+def test_all_bytes_are_passed_on_in_order_and_the_socket_is_read_again():
+    loop = Loop()
+    handler, connection = connected(loop)
+    sent = bytes(k % 251 for k in range(READ_BUFFER_BYTES))
+    receive(connection, sent)
+    assert len(handler.received) == PIECE_BYTES
+    assert not connection._transport.reading
+    while loop.callbacks:
+        loop.turn()
+    assert handler.received == sent
+    assert connection._transport.reading
+
+
+def test_bytes_that_wait_when_the_connection_ends_are_passed_on_first_or_discarded():
+    """Guards against bytes of a client that has left, where they must not be handled any more."""
+    for finish_waiting in (True, False):
+        loop = Loop()
+        handler, connection = connected(loop, finish_waiting=finish_waiting)
+        receive(connection, bytes(3 * PIECE_BYTES))
+        connection.connection_lost(None)
+        assert handler.lost is not finish_waiting
+        while loop.callbacks:
+            loop.turn()
+        assert handler.lost
+        assert len(handler.received) == (3 if finish_waiting else 1) * PIECE_BYTES
+
+
+def test_a_protocol_that_pauses_gets_nothing_until_it_resumes():
+    loop = Loop()
+    handler, connection = connected(loop)
+    handler.transport.pause_reading()
+    assert not connection._transport.reading
+    receive(connection, b"late")  # was read before
+    loop.turn()
+    assert handler.received == b""
+    handler.transport.resume_reading()
+    loop.turn()
+    assert handler.received == b"late"
+    assert connection._transport.reading
+
+
+def test_an_error_of_one_protocol_ends_its_connection_and_no_other():
+    loop = Loop()
+    handler, connection = connected(loop)
+    other, other_connection = connected(loop)
+    for each in (connection, other_connection):
+        receive(each, bytes(READ_BUFFER_BYTES))
+    handler.data_received = lambda data: 1 / 0
+    while loop.callbacks:
+        try:
+            loop.turn()
+        except ZeroDivisionError:
+            assert connection._transport.aborted
+    assert len(other.received) == READ_BUFFER_BYTES
--- a/tests/platform/test_hostile_clients.py
+++ b/tests/platform/test_hostile_clients.py
@@ -44,6 +44,7 @@
     payloads = [hello(number) + b'{"a":"' + bytes(MIB - 100) for number in range(PROXIES)]
     clients = HalfWritten(process.address, payloads)
     clients.send(10)
+    assert Bystander(LineClient(process.address, PROBE)).watch(0.5) < MAX_WAIT_S
     assert peak_memory_mb(process.process.pid) < MEMORY_MB
     assert 0 < clients.refused < PROXIES
     assert all(b"unfinished messages of all clients" in reply for reply in clients.replies if reply)
@@ -59,3 +60,33 @@
     bystander.watch(3)
     flood.stop()
     assert peak_memory_mb(process.process.pid) < MEMORY_MB
+    assert max(bystander.latencies_s) < MAX_WAIT_S
+
+
+@pytest.mark.parametrize(
+    "block", [b"{}\n" * 20_000, b'{"msg":"x"}\n' * 5000, PROBE * 4000], ids=["empty", "unknown", "probes"]
+)
+def test_a_client_at_full_speed_does_not_hold_up_others(process, block):
+    """Guards against answers that wait for all that one client has sent: 18 s with `{}` alone."""
+    flood = Flood(process.address, hello(0), lambda number: block)
+    flood.start()
+    bystander = Bystander(LineClient(process.address, PROBE))
+    bystander.watch(3)
+    flood.stop()
+    assert flood.sent_bytes > MIB
+    assert bystander.failures == []
+    assert max(bystander.latencies_s) < MAX_WAIT_S
+
+
+def test_many_clients_at_full_speed_do_not_hold_up_others(process):
+    """Guards against a limit for each client only: together they took all turns."""
+    payloads = [hello(number) + b"{}\n" * 300_000 for number in range(PROXIES)]
+    clients = HalfWritten(process.address, payloads)
+    bystander = Bystander(LineClient(process.address, PROBE))
+    for _ in range(10):
+        clients.send(0.3)
+        bystander.watch(0.01)
+    assert bystander.failures == []
+    assert max(bystander.latencies_s) < MAX_WAIT_S
+    assert peak_memory_mb(process.process.pid) < MEMORY_MB
+    clients.close()
