Proxy: the end of an attempt no longer cancels the next one on its HTTP/1.1 connection

Cause: when a response has arrived, the framing is free at once and the pool hands the connection to the next request, before the task of the first one runs. Its cleanup then cancels "stream 0", which is the new request's, and closes the connection; nobody completes the new attempt. It may have run. Change: an attempt is cancelled by its future, not by its stream id alone. Test: test_upstream_connection.py fails before the change (the connection is aborted).

--- a/swiftchute/proxy/server.py
+++ b/swiftchute/proxy/server.py
@@ -179,7 +179,7 @@
         except TimeoutError:
             return AttemptEnd(AttemptOutcome.TIMED_OUT, None)
         finally:
-            connection.cancel(stream_id)
+            connection.cancel(stream_id, future)
 
     def _upstream(self, endpoint: str, http2: bool) -> Upstream:
         upstream = self.upstreams.get((endpoint, http2))
--- a/swiftchute/proxy/upstream_connection.py
+++ b/swiftchute/proxy/upstream_connection.py
@@ -66,10 +66,14 @@
         self._flush()
         return stream_id, future
 
-    def cancel(self, stream_id: int) -> None:
-        """Cancel an attempt that nobody waits for any more; no-op if it has ended."""
-        if self._attempts.pop(stream_id, None) is None:
+    def cancel(self, stream_id: int, future: asyncio.Future[AttemptEnd]) -> None:
+        """Cancel an attempt that nobody waits for any more; no-op if it has ended.
+
+        Another attempt may have its stream id by then: in HTTP/1.1 all have the same.
+        """
+        if self._attempts.get(stream_id) is not future:
             return
+        del self._attempts[stream_id]
         self.framing.reset_stream(stream_id, CANCEL)
         self._flush()
         if isinstance(self.framing, Http1Connection):
