Proxy: bound what all callers take of memory and turns, and notice callers that leave

Cause: limits were per message and per connection. Pipelined bytes were read without end; answers were written to a caller that reads nothing. The end of a stream goes unnoticed while the socket is not read. Change: connections are wrapped by FairProtocol (turns as on the platform). buffer_budget.py (renamed from receive_budget.py) counts unfinished requests by message, and unread answers by caller; past `buffered_most` (64 MiB each, new in the settings) the oldest are refused with 503 or ENHANCE_YOUR_CALM, or reset. Requests in flight have the same limit, past it 503 or UNAVAILABLE. A header block over 64 KiB in CONTINUATION frames is refused. disconnect_watcher.py notices a peer that leaves while its socket is not read; its requests are cancelled.

--- a/swiftchute/config/proxy.py
+++ b/swiftchute/config/proxy.py
@@ -57,6 +57,7 @@
     "silent": Field(duration(100 * MILLISECOND_NS, 600 * SECOND_NS), _SERVER.silence_timeout_ns),
     "connect_within": Field(duration(10 * MILLISECOND_NS, 60 * SECOND_NS), _SERVER.connect_timeout_ns),
     "message_most": Field(size(1, 2**30), _SERVER.max_message_bytes),
+    "buffered_most": Field(size(2**16), _SERVER.max_buffered_bytes),
     "callers": Field(number(1, 10**6, True), _SERVER.max_downstream_connections),
     "drain": Field(duration(0, 600 * SECOND_NS), _SERVER.drain_timeout_ns),
     "keep": Field(path, None),
@@ -196,6 +197,7 @@
         silence_timeout_ns=values["silent"],
         connect_timeout_ns=values["connect_within"],
         max_message_bytes=values["message_most"],
+        max_buffered_bytes=values["buffered_most"],
         max_downstream_connections=values["callers"],
         drain_timeout_ns=values["drain"],
     )
--- a/swiftchute/ingress/fair_protocol.py
+++ b/swiftchute/ingress/fair_protocol.py
@@ -1,12 +1,14 @@
 """An asyncio protocol that passes received bytes on to another one in slices, as a scheduler allows.
 
-While bytes wait, the socket is not read, so each connection holds one read buffer at most. The wrapped
-protocol is used as with any transport, and must accept data that is split at any place.
+While bytes wait, the socket is not read, so each connection holds one read buffer at most. A peer that leaves
+meanwhile is noticed all the same. The wrapped protocol is used as with any transport, and must accept data
+that is split at any place.
 """
 
 import asyncio
 from typing import Any
 
+from swiftchute.ingress.disconnect_watcher import DisconnectWatcher
 from swiftchute.ingress.turn_scheduler import SLICE_NS, TurnScheduler
 
 READ_BUFFER_BYTES = 16 * 1024
@@ -48,19 +50,21 @@
         used_ns: Time that the protocol has used, for the scheduler.
     """
 
-    def __init__(self, scheduler: TurnScheduler, protocol: Any, finish_waiting: bool = False) -> None:
+    def __init__(
+        self, scheduler: TurnScheduler, protocol: Any, watcher: DisconnectWatcher | None = None
+    ) -> None:
         """Wrap a protocol.
 
         Args:
             scheduler: Decides when bytes are passed on.
             protocol: The wrapped protocol.
-            finish_waiting: Whether bytes that wait when the connection ends are still passed on before the
-                protocol is told; otherwise they are discarded.
+            watcher: Notices a peer that leaves while its bytes wait; these are discarded. Without one they
+                are still passed on before the protocol is told.
         """
         self.used_ns = 0
         self._scheduler = scheduler
         self._protocol = protocol
-        self._finish_waiting = finish_waiting
+        self._watcher = watcher
         self._transport: Any = None
         self._waiting = b""
         self._is_queued = False
@@ -69,6 +73,8 @@
         self._is_lost = False
         self._lost_cause: Exception | None = None
         self._end_is_due = False  # the protocol has not been told of the loss yet
+        self._is_watched = False
+        self._descriptor = -1
 
     @property
     def has_waiting_input(self) -> bool:
@@ -98,9 +104,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the protocol, after the waiting bytes if they are to be passed on."""
+        self._watch(False)
         self._is_lost, self._lost_cause = True, exc
         self._end_is_due = True
-        if self._finish_waiting and self._waiting:
+        if self._watcher is None and self._waiting:
             self._protocol_paused = False
             self._wait()
         else:
@@ -169,3 +176,21 @@
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
+        self._watch(should_pause)
+
+    def _watch(self, watch: bool) -> None:
+        """Watch for the end of the connection while its socket is not read, or stop to watch."""
+        if self._watcher is None or watch == self._is_watched:
+            return
+        self._is_watched = watch
+        if watch:
+            self._descriptor = self._transport.get_extra_info("socket").fileno()
+            self._watcher.watch(self._descriptor, self._on_peer_left)
+        else:
+            self._watcher.forget(self._descriptor, self._on_peer_left)
+
+    def _on_peer_left(self) -> None:
+        """Discard what waits and let the protocol end, as it does when the end of the stream is read."""
+        self._waiting = b""
+        if not self._is_lost and not self._protocol.eof_received():
+            self._transport.close()
--- a/swiftchute/ingress/turn_scheduler.py
+++ b/swiftchute/ingress/turn_scheduler.py
@@ -5,10 +5,13 @@
 process, comes first, so a client that sends at full speed waits for itself and not the others for it.
 """
 
+import asyncio
 import heapq
 import itertools
+import time
 from collections.abc import Callable
 from typing import Protocol
+from weakref import WeakKeyDictionary
 
 NS_PER_MS = 1_000_000
 TURN_NS = 10 * NS_PER_MS  # time for received bytes in one iteration of the event loop
@@ -16,6 +19,9 @@
 ASSUMED_NS_PER_BYTE = 1000  # time that waiting bytes are expected to take, to order those who wait
 
 
+_schedulers: "WeakKeyDictionary[asyncio.AbstractEventLoop, TurnScheduler]" = WeakKeyDictionary()
+
+
 class Runnable(Protocol):
     """A connection with received bytes.
 
@@ -29,6 +35,15 @@
         """Process received bytes for a slice; called by the scheduler after a wait."""
 
 
+def event_loop_turns() -> "TurnScheduler":
+    """Return the scheduler of the running event loop, which all its servers share."""
+    loop = asyncio.get_running_loop()
+    scheduler = _schedulers.get(loop)
+    if scheduler is None:
+        scheduler = _schedulers[loop] = TurnScheduler(time.perf_counter_ns, loop.call_soon)
+    return scheduler
+
+
 class TurnScheduler:
     """Shares the time of one event loop between its connections."""
 
--- a/swiftchute/platform/server.py
+++ b/swiftchute/platform/server.py
@@ -18,9 +18,9 @@
 
 from swiftchute.controller.policy_runner import PolicyRunner
 from swiftchute.discovery.start_times import StartTimes
+from swiftchute.ingress.buffer_budget import BufferBudget
 from swiftchute.ingress.fair_protocol import FairProtocol
-from swiftchute.ingress.receive_budget import ReceiveBudget
-from swiftchute.ingress.turn_scheduler import TurnScheduler
+from swiftchute.ingress.turn_scheduler import TurnScheduler, event_loop_turns
 from swiftchute.platform import connection_limits, settings
 from swiftchute.platform.discovery_client import DiscoveryClient, DiscoveryConnection, OpenConnection
 from swiftchute.platform.discovery_watch import MAX_DELIVERY_DELAY_NS
@@ -77,7 +77,7 @@
         self.discovery = DiscoveryClient(self.endpoint_list, random.Random(configuration.seed))
         self._start_times = StartTimes(MAX_DELIVERY_DELAY_NS)
         self.clients: set[ClientTransport] = set()
-        self.receive_budget: ReceiveBudget[ClientTransport] = ReceiveBudget(
+        self.buffer_budget: BufferBudget[ClientTransport] = BufferBudget(
             connection_limits.max_unfinished_bytes(configuration.max_memory_mb)
         )
         self._schedule = RoundSchedule()
@@ -112,7 +112,7 @@
             SettingsError: The listening address cannot be used.
         """
         self.event_loop = asyncio.get_running_loop()
-        self.turns = TurnScheduler(time.perf_counter_ns, self.event_loop.call_soon)
+        self.turns = event_loop_turns()
         stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             self.event_loop.add_signal_handler(number, stop.set)
@@ -134,7 +134,7 @@
     async def _listen(self) -> asyncio.Server:
         host, port = self.configuration.listen
         listener = await self.event_loop.create_server(
-            lambda: FairProtocol(self.turns, ClientTransport(self), finish_waiting=True),
+            lambda: FairProtocol(self.turns, ClientTransport(self)),
             sock=await self._open_listening_socket(),
             backlog=connection_limits.LISTEN_BACKLOG,
         )
@@ -264,7 +264,7 @@
             **self.sessions.ledger.log_fields,
             endpoints=len(self.runner.endpoint_records),
             reportable=len(self.sessions.reportable_endpoints),
-            unfinished_evicted=self.receive_budget.evicted,
+            unfinished_evicted=self.buffer_budget.evicted,
             stale_lines=self.endpoint_list.stale_lines,
             cpu_ms=time.process_time_ns() // NS_PER_MS,
             round_cpu_ms=self._total_round_cpu_ns // NS_PER_MS,
@@ -311,6 +311,6 @@
         self.log("reloaded", discovery=f"{host}:{port}")
         self.configuration = configuration
         self.sessions.max_sockets = self._usable_sockets()
-        self.receive_budget.limit_bytes = connection_limits.max_unfinished_bytes(configuration.max_memory_mb)
+        self.buffer_budget.limit_bytes = connection_limits.max_unfinished_bytes(configuration.max_memory_mb)
         self.discovery.set_address(configuration.discovery, self.clock())
         self.run_discovery_commands()
--- a/swiftchute/platform/transports.py
+++ b/swiftchute/platform/transports.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from swiftchute.ingress.buffer_budget import BufferBudget
 from swiftchute.ingress.fair_protocol import FairProtocol
-from swiftchute.ingress.receive_budget import ReceiveBudget
 from swiftchute.ingress.turn_scheduler import TurnScheduler
 from swiftchute.platform.connection_limits import CLOSE_TIMEOUT_S, MAX_UNSENT_BYTES
 from swiftchute.platform.discovery_client import DiscoveryClient, DiscoveryConnection
@@ -26,7 +26,7 @@
     discovery: DiscoveryClient
     clients: "set[ClientTransport]"
     turns: TurnScheduler
-    receive_budget: "ReceiveBudget[ClientTransport]"
+    buffer_budget: "BufferBudget[ClientTransport]"
 
     @property
     def stopping(self) -> bool:
@@ -79,7 +79,7 @@
         if self.owner.stopping:
             return
         self.session.receive_data(data, self.owner.clock())
-        for other in self.owner.receive_budget.update(self, len(self.session.unparsed)):
+        for other in self.owner.buffer_budget.update(self, len(self.session.unparsed)):
             other.discard_unfinished_message()
         if self.session.end_cause is not None:
             self.close()
@@ -127,7 +127,7 @@
         if self not in self.owner.clients:
             return
         self.owner.clients.remove(self)
-        self.owner.receive_budget.release(self)
+        self.owner.buffer_budget.release(self)
         self.owner.sessions.session_closed(self.session, self.session.end_cause or _closing_cause(error))
         self.owner.on_input()
         self.owner.on_client_closed()
@@ -147,7 +147,7 @@
         host, port = self.connection.address
         try:
             await self.owner.event_loop.create_connection(
-                lambda: FairProtocol(self.owner.turns, self, finish_waiting=True), host, port
+                lambda: FairProtocol(self.owner.turns, self), host, port
             )
         except OSError as error:
             self.owner.on_discovery_closed(self.connection, f"{type(error).__name__}: {error}")
--- a/swiftchute/proxy/http1_connection.py
+++ b/swiftchute/proxy/http1_connection.py
@@ -36,6 +36,7 @@
         self._h11 = h11.Connection(role, max_incomplete_event_size=MAX_HEADER_BYTES)
         self._partial_message: PartialMessage | None = None
         self._unsent = bytearray()
+        self._unfinished_bytes = 0  # received of a message that is not complete
 
     def start(self) -> None:
         """No-op: HTTP/1.1 has no preface."""
@@ -57,6 +58,7 @@
         Raises:
             HttpFramingError: the bytes violate the protocol.
         """
+        self._unfinished_bytes += len(data)
         try:
             self._h11.receive_data(data)
         except h11.ProtocolError as error:
@@ -64,6 +66,19 @@
             raise HttpFramingError(str(error)) from None
         return self.next_events()
 
+    def take_unfinished_sizes(self) -> dict[int, int]:
+        """Return the memory of the message that is being received, by its stream id.
+
+        A pipelined request counts from the response to the one before it.
+        """
+        is_waiting = self.busy and self._partial_message is None
+        return {0: 0 if is_waiting else self._unfinished_bytes}
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of messages that wait for the peer's flow control: none in HTTP/1.1."""
+        return 0
+
     def next_events(self) -> list[HttpEvent]:
         """Return events for the bytes received so far; a pipelined request waits for the response before it.
 
@@ -106,8 +121,10 @@
         return 0
 
     def reset_stream(self, stream_id: int, error_code: int) -> None:
-        """Mark the connection closing: HTTP/1.1 cannot cancel a single request."""
+        """Discard what was received, and mark the connection closing: no single request can be cancelled."""
         self.closing = True
+        self._partial_message = None
+        self._unfinished_bytes = 0
 
     def _handle(self, h11_event: Any, events: list[HttpEvent]) -> None:
         match h11_event:
@@ -120,7 +137,8 @@
                 self._handle_data(self._partial_message, h11_event.data, events)
             case h11.EndOfMessage() if self._partial_message is not None:
                 partial, self._partial_message = self._partial_message, None
-                events.append(HttpMessage(0, partial.headers, bytes(partial.body)))
+                self._unfinished_bytes = 0
+                events.append(HttpMessage(0, partial.headers, partial.body))
                 if self.client:
                     self._end_exchange()
 
@@ -132,12 +150,12 @@
         self._partial_message = PartialMessage(pseudo_headers + _headers_of(request))
 
     def _handle_data(self, partial: PartialMessage, data: bytes, events: list[HttpEvent]) -> None:
-        if len(partial.body) + len(data) > self.max_message_bytes:
+        if partial.body_bytes + len(data) > self.max_message_bytes:
             self._partial_message = None
             self.closing = True
             events.append(MessageTooLarge(0))
         else:
-            partial.body += data
+            partial.add_body(data)
 
     def _build_head(self, message: HttpMessage) -> h11.Request | h11.Response:
         """Build start line and headers; raises KeyError or ValueError on missing or bad pseudo-headers."""
--- a/swiftchute/proxy/http2_connection.py
+++ b/swiftchute/proxy/http2_connection.py
@@ -32,7 +32,9 @@
 
 PREFACE_BYTES = 24  # length of a client's connection preface (RFC 9113, 3.4)
 FRAME_HEADER_BYTES = 9
-GOAWAY_TYPE = 7
+HEADERS_TYPE, GOAWAY_TYPE, CONTINUATION_TYPE = 1, 7, 9
+END_HEADERS_FLAG = 4
+CONNECTION_STREAM = 0  # stands for what belongs to no stream yet
 GOAWAY_MIN_BYTES = 8  # last stream ID and error code
 MAX_FRAME_BYTES = 2**14  # payload limit: the initial SETTINGS_MAX_FRAME_SIZE, which is never raised
 STREAM_WINDOW_BYTES = 2**18
@@ -75,6 +77,8 @@
         self._partial_messages: dict[int, PartialMessage] = {}
         self._unsent_bodies: dict[int, tuple[memoryview, Headers]] = {}  # body awaiting window, trailers
         self._partial_frame = bytearray()
+        self._header_block_bytes = 0  # of a header block that is not complete
+        self._unfinished_sizes: dict[int, int] = {}  # changed since they were taken
         self._preface_bytes_left = 0 if client else PREFACE_BYTES
 
     def start(self) -> None:
@@ -110,6 +114,17 @@
         self._send_waiting_bodies()
         return events
 
+    def take_unfinished_sizes(self) -> dict[int, int]:
+        """Return the changed memory of messages that are being received, by stream id."""
+        sizes, self._unfinished_sizes = self._unfinished_sizes, {}
+        sizes[CONNECTION_STREAM] = len(self._partial_frame) + self._header_block_bytes
+        return sizes
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of messages that wait for the peer's flow control."""
+        return sum(len(body) for body, _ in self._unsent_bodies.values())
+
     def send(self, message: HttpMessage) -> int:
         """Send a request on a new stream, or a response on the stream of `message`.
 
@@ -135,7 +150,7 @@
 
     def reset_stream(self, stream_id: int, error_code: int) -> None:
         """Reset a stream; no-op if it has ended."""
-        self._partial_messages.pop(stream_id, None)
+        self._forget_partial(stream_id)
         self._unsent_bodies.pop(stream_id, None)
         try:
             self.h2.reset_stream(stream_id, error_code)
@@ -170,6 +185,7 @@
                 break
             frame = self._partial_frame[start:end]
             start = end
+            self._check_header_block(frame[3], frame[4], payload_bytes)
             if frame[3] == GOAWAY_TYPE and payload_bytes >= GOAWAY_MIN_BYTES:
                 self.closing = True
                 events.append(_parse_goaway(frame))
@@ -178,10 +194,28 @@
         del self._partial_frame[:start]
         return bytes(frames)
 
+    def _check_header_block(self, frame_type: int, flags: int, payload_bytes: int) -> None:
+        """Count the bytes of a header block; raises ValueError if it is too large."""
+        if frame_type not in (HEADERS_TYPE, CONTINUATION_TYPE):
+            return
+        self._header_block_bytes += payload_bytes
+        if self._header_block_bytes > MAX_HEADER_BYTES:
+            raise ValueError(f"header block of more than {MAX_HEADER_BYTES} bytes")
+        if flags & END_HEADERS_FLAG:
+            self._header_block_bytes = 0
+
+    def _forget_partial(self, stream_id: int) -> PartialMessage | None:
+        partial = self._partial_messages.pop(stream_id, None)
+        if partial is not None:
+            self._unfinished_sizes[stream_id] = 0
+        return partial
+
     def _handle(self, h2_event: Any, events: list[HttpEvent]) -> None:
         match h2_event:
             case h2.events.RequestReceived() | h2.events.ResponseReceived():
-                self._partial_messages[h2_event.stream_id] = PartialMessage(list(h2_event.headers))
+                message = PartialMessage(list(h2_event.headers))
+                self._partial_messages[h2_event.stream_id] = message
+                self._unfinished_sizes[h2_event.stream_id] = message.memory_bytes
             case h2.events.TrailersReceived():
                 partial = self._partial_messages.get(h2_event.stream_id)
                 if partial is not None:
@@ -191,7 +225,7 @@
             case h2.events.StreamEnded():
                 self._handle_stream_ended(h2_event.stream_id, events)
             case h2.events.StreamReset():
-                self._partial_messages.pop(h2_event.stream_id, None)
+                self._forget_partial(h2_event.stream_id)
                 self._unsent_bodies.pop(h2_event.stream_id, None)
                 events.append(StreamReset(h2_event.stream_id, int(h2_event.error_code or 0)))
             case h2.events.ConnectionTerminated():
@@ -206,17 +240,17 @@
         partial = self._partial_messages.get(stream_id)
         if partial is None:
             return
-        if len(partial.body) + len(h2_event.data) > self.max_message_bytes:
-            del self._partial_messages[stream_id]
+        if partial.body_bytes + len(h2_event.data) > self.max_message_bytes:
             self.reset_stream(stream_id, ENHANCE_YOUR_CALM)
             events.append(MessageTooLarge(stream_id))
         else:
-            partial.body += h2_event.data
+            partial.add_body(h2_event.data)
+            self._unfinished_sizes[stream_id] = partial.memory_bytes
 
     def _handle_stream_ended(self, stream_id: int, events: list[HttpEvent]) -> None:
-        partial = self._partial_messages.pop(stream_id, None)
+        partial = self._forget_partial(stream_id)
         if partial is not None:
-            events.append(HttpMessage(stream_id, partial.headers, bytes(partial.body), partial.trailers))
+            events.append(HttpMessage(stream_id, partial.headers, partial.body, partial.trailers))
 
     def _send_waiting_bodies(self) -> None:
         for stream_id in list(self._unsent_bodies):
--- a/swiftchute/proxy/http_framing.py
+++ b/swiftchute/proxy/http_framing.py
@@ -12,6 +12,8 @@
 Headers = list[tuple[bytes, bytes]]
 
 MAX_HEADER_BYTES = 64 * 1024
+PIECE_OVERHEAD_BYTES = 64  # memory that a piece of a body takes beside its bytes
+HEADER_OVERHEAD_BYTES = 160  # memory that a header takes beside its name and value
 
 # HTTP/2 error codes (RFC 9113, 7)
 REFUSED_STREAM = 7
@@ -35,6 +37,11 @@
     body: bytes = b""
     trailers: Headers = field(default_factory=list)
 
+    @property
+    def memory_bytes(self) -> int:
+        """Approximate memory that the message takes."""
+        return len(self.body) + headers_memory_bytes(self.headers) + headers_memory_bytes(self.trailers)
+
 
 @dataclass(frozen=True)
 class StreamReset:
@@ -69,8 +76,33 @@
 
 @dataclass
 class PartialMessage:
-    """A message that is still being received."""
+    """A message that is still being received.
+
+    The body is kept in pieces: many bodies that grow at once would leave holes in the memory.
+    """
 
     headers: Headers = field(default_factory=list)
-    body: bytearray = field(default_factory=bytearray)
     trailers: Headers = field(default_factory=list)
+    body_bytes: int = 0
+    _pieces: list[bytes] = field(default_factory=list)
+
+    def add_body(self, data: bytes) -> None:
+        """Add received bytes to the body."""
+        self._pieces.append(bytes(data))
+        self.body_bytes += len(data)
+
+    @property
+    def body(self) -> bytes:
+        """The body received so far."""
+        return b"".join(self._pieces)
+
+    @property
+    def memory_bytes(self) -> int:
+        """Approximate memory that the message takes so far."""
+        pieces_bytes = PIECE_OVERHEAD_BYTES * len(self._pieces)
+        return self.body_bytes + pieces_bytes + headers_memory_bytes(self.headers)
+
+
+def headers_memory_bytes(headers: Headers) -> int:
+    """Return the approximate memory that headers take."""
+    return sum(len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in headers)
--- a/swiftchute/proxy/server.py
+++ b/swiftchute/proxy/server.py
@@ -9,9 +9,13 @@
 import time
 from collections.abc import Callable
 
+from swiftchute.ingress.buffer_budget import BufferBudget
+from swiftchute.ingress.disconnect_watcher import disconnect_watcher
+from swiftchute.ingress.fair_protocol import FairProtocol
+from swiftchute.ingress.turn_scheduler import event_loop_turns
 from swiftchute.proxy import response_headers
 from swiftchute.proxy.connection_pool import PooledConnection
-from swiftchute.proxy.downstream_connection import DownstreamConnection
+from swiftchute.proxy.downstream_connection import DownstreamConnection, UnfinishedRequest
 from swiftchute.proxy.errors import HttpFramingError
 from swiftchute.proxy.http_framing import HttpMessage
 from swiftchute.proxy.request import ActiveRequest, Attempt, Rejection, RequestRouter
@@ -37,6 +41,9 @@
         clock: returns the current time in ns.
         upstreams: upstreams keyed by endpoint and whether they use HTTP/2.
         downstreams: open connections of callers.
+        unfinished_requests: memory of the requests that are being received.
+        unread_responses: memory of the responses that callers have not read.
+        in_flight_bytes: memory of the requests in flight.
         rejected_connections: number of caller connections closed because the limit was reached.
     """
 
@@ -49,6 +56,9 @@
         self.clock = clock
         self.upstreams: dict[tuple[str, bool], Upstream] = {}
         self.downstreams: set[DownstreamConnection] = set()
+        self.unfinished_requests: BufferBudget[UnfinishedRequest] = BufferBudget(settings.max_buffered_bytes)
+        self.unread_responses: BufferBudget[DownstreamConnection] = BufferBudget(settings.max_buffered_bytes)
+        self.in_flight_bytes = 0
         self.rejected_connections = 0
         self._server: asyncio.Server | None = None
         self._check_task: asyncio.Task | None = None
@@ -57,8 +67,12 @@
         """Start listening; returns the bound host and port."""
         host, port = self.settings.listen_address
         loop = asyncio.get_running_loop()
+        turns, watcher = event_loop_turns(), disconnect_watcher()
         self._server = await loop.create_server(
-            lambda: DownstreamConnection(self), host, port, backlog=LISTEN_BACKLOG
+            lambda: FairProtocol(turns, DownstreamConnection(self), watcher),
+            host,
+            port,
+            backlog=LISTEN_BACKLOG,
         )
         self._check_task = asyncio.ensure_future(self._check_connections())
         return self._server.sockets[0].getsockname()[:2]
@@ -94,7 +108,14 @@
     async def handle_request(self, request: HttpMessage, caller: str, http2: bool) -> HttpMessage:
         """Return the response to a caller's request: an endpoint's, or a local one."""
         info = response_headers.parse_request(request)
-        result, response = await self.route_request(request, info, caller, http2)
+        request_bytes = request.memory_bytes
+        if self.in_flight_bytes + request_bytes > self.settings.max_buffered_bytes:
+            return response_headers.local_response(RequestResult.AT_CAPACITY, info.grpc)
+        self.in_flight_bytes += request_bytes
+        try:
+            result, response = await self.route_request(request, info, caller, http2)
+        finally:
+            self.in_flight_bytes -= request_bytes
         if response is not None:
             return response
         return response_headers.local_response(result, info.grpc)
@@ -198,5 +219,7 @@
                     upstream.close()
                     del self.upstreams[key]
             now_ns = self.clock()
+            for downstream in list(self.downstreams):
+                downstream.update_unread()
             for downstream in [connection for connection in self.downstreams if connection.is_idle(now_ns)]:
                 downstream.transport.close()
--- a/swiftchute/proxy/settings.py
+++ b/swiftchute/proxy/settings.py
@@ -106,6 +106,8 @@
             pinged, and then the timeout of the answer.
         connect_timeout_ns: time limit for establishing a connection.
         max_message_bytes: size limit of the body of a request or response.
+        max_buffered_bytes: limit of the memory that all callers together may take, each for unfinished
+            requests, for requests in flight and for responses that they have not read.
         max_downstream_connections: limit of callers' connections; more are closed unread.
         drain_timeout_ns: time that requests in flight get to complete when the proxy stops.
     """
@@ -115,5 +117,6 @@
     silence_timeout_ns: int = 2 * NS_PER_S
     connect_timeout_ns: int = NS_PER_S
     max_message_bytes: int = 2**20
+    max_buffered_bytes: int = 2**26
     max_downstream_connections: int = 2000
     drain_timeout_ns: int = 5 * NS_PER_S
--- a/tests/ingress/test_turn_scheduler.py
+++ b/tests/ingress/test_turn_scheduler.py
@@ -35,6 +35,14 @@
     def abort(self):
         self.aborted = True
 
+    close = abort
+
+    def get_extra_info(self, name):
+        return self
+
+    def fileno(self):
+        return 7
+
 
 class Handler:
     """A protocol that takes a time for each piece that it receives."""
@@ -54,11 +62,26 @@
     def connection_lost(self, error):
         self.lost = True
 
+    def eof_received(self):
+        return None
+
+
+class Watcher:
+    """Holds the callback of the socket that is watched."""
+
+    callback = None
+
+    def watch(self, descriptor, callback):
+        self.callback = callback
 
-def connected(loop, **options):
+    def forget(self, descriptor, callback):
+        self.callback = None
+
+
+def connected(loop, watcher=None):
     """Return a handler and its connection."""
     handler = Handler(loop)
-    connection = FairProtocol(loop.scheduler, handler, **options)
+    connection = FairProtocol(loop.scheduler, handler, watcher)
     connection.connection_made(Transport())
     return handler, connection
 
@@ -101,16 +124,28 @@
 
 def test_bytes_that_wait_when_the_connection_ends_are_passed_on_first_or_discarded():
     """Guards against bytes of a client that has left, where they must not be handled any more."""
-    for finish_waiting in (True, False):
+    for watcher in (None, Watcher()):
         loop = Loop()
-        handler, connection = connected(loop, finish_waiting=finish_waiting)
+        handler, connection = connected(loop, watcher)
         receive(connection, bytes(3 * PIECE_BYTES))
         connection.connection_lost(None)
-        assert handler.lost is not finish_waiting
+        assert handler.lost is (watcher is not None)
         while loop.callbacks:
             loop.turn()
         assert handler.lost
-        assert len(handler.received) == (3 if finish_waiting else 1) * PIECE_BYTES
+        assert len(handler.received) == (1 if watcher else 3) * PIECE_BYTES
+
+
+def test_a_peer_that_leaves_while_its_bytes_wait_is_noticed_and_they_are_discarded():
+    """Guards against requests that are sent on after their client has closed its connection."""
+    loop, watcher = Loop(), Watcher()
+    handler, connection = connected(loop, watcher)
+    receive(connection, bytes(READ_BUFFER_BYTES))
+    watcher.callback()
+    assert connection._transport.aborted
+    while loop.callbacks:
+        loop.turn()
+    assert len(handler.received) == PIECE_BYTES
 
 
 def test_a_protocol_that_pauses_gets_nothing_until_it_resumes():
--- a/tests/support/hostile_clients.py
+++ b/tests/support/hostile_clients.py
@@ -3,6 +3,7 @@
 import contextlib
 import select
 import socket
+import struct
 import threading
 import time
 
@@ -40,9 +41,9 @@
             self.unsent[connection] = memoryview(payload)
 
     def send(self, seconds):
-        """Send for a while, or until all is sent."""
+        """Send for a while, and take note of the connections that the server closes."""
         deadline = time.monotonic() + seconds
-        while any(self.unsent.values()) and time.monotonic() < deadline:
+        while self.unsent and time.monotonic() < deadline:
             waiting = [connection for connection, data in self.unsent.items() if data]
             poll = select.poll()
             for connection in self.unsent:
@@ -170,3 +171,17 @@
     with open(f"/proc/{process}/status") as file:
         line = next(line for line in file if line.startswith("VmHWM:"))
     return int(line.split()[1]) / 1024
+
+
+def leave(address, data, wait_s, reset=False):
+    """Send, wait, and close without having read anything; with a reset, or with the end of the stream."""
+    with connect(address) as connection:
+        connection.setblocking(False)
+        deadline, view = time.monotonic() + wait_s, memoryview(data)
+        while time.monotonic() < deadline:
+            with contextlib.suppress(BlockingIOError):
+                view = view[connection.send(view) :]
+            time.sleep(0.005)
+        if reset:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    return len(data) - len(view)
