serve: share turns on ADS, DNS over TCP and admin, and bound unfinished messages on ADS

Callers saw, on: (a) 300 clients with 1,200 ADS streams that stop half way: 384 MB, others wait for 2 s. (b) one client with HTTP/2 pings at full speed: others wait for 7.6 to 16 s on ADS, with small queries 6.2 s on DNS over TCP, 0.18 s on admin; a client that reads no answers kept them in memory. Change: connections are wrapped by FairProtocol; an ADS message is received in pieces, which count for all clients together (16 messages of the largest size), past it the oldest stream ends with RESOURCE_EXHAUSTED; other tasks run between two messages; a connection is not read while its client reads nothing. Pieces adapt to the time that they take. Newcomers start below all that wait, as one that has little to process could raise the start above the others.

--- a/swiftchute/admin/server.py
+++ b/swiftchute/admin/server.py
@@ -16,6 +16,9 @@
 
 from swiftchute.admin import protocol
 from swiftchute.admin.errors import CommandRejectedError, RequestError
+from swiftchute.ingress.disconnect_watcher import disconnect_watcher
+from swiftchute.ingress.fair_protocol import FairProtocol
+from swiftchute.ingress.turn_scheduler import event_loop_turns
 
 MAX_CONNECTIONS = 16
 IDLE_TIMEOUT_S = 30.0  # without a request
@@ -116,9 +119,12 @@
         """
         self._remove_stale_socket()
         loop = asyncio.get_running_loop()
+        turns, watcher = event_loop_turns(), disconnect_watcher()
         previous_umask = os.umask(SOCKET_UMASK)
         try:
-            self._listener = await loop.create_unix_server(lambda: _AdminConnection(self), self._path)
+            self._listener = await loop.create_unix_server(
+                lambda: FairProtocol(turns, _AdminConnection(self), watcher), self._path
+            )
         finally:
             os.umask(previous_umask)
 
--- a/swiftchute/dns/server.py
+++ b/swiftchute/dns/server.py
@@ -15,6 +15,9 @@
 from swiftchute.dns.frontend import DnsFrontend
 from swiftchute.dns.query import HEADER_BYTES
 from swiftchute.dns.settings import Address
+from swiftchute.ingress.disconnect_watcher import disconnect_watcher
+from swiftchute.ingress.fair_protocol import FairProtocol
+from swiftchute.ingress.turn_scheduler import event_loop_turns
 
 LENGTH_PREFIX_BYTES = 2
 MAX_UNREAD_REPLIES_BYTES = 256 * 1024  # replies that a client has not read yet
@@ -163,8 +166,12 @@
         """Serve a view over TCP and, on the same port, over UDP."""
         loop = asyncio.get_running_loop()
         host, port = address
+        turns, watcher = event_loop_turns(), disconnect_watcher()
         server = await loop.create_server(
-            lambda: _StreamProtocol(self, view), host, port, backlog=LISTEN_BACKLOG
+            lambda: FairProtocol(turns, _StreamProtocol(self, view), watcher),
+            host,
+            port,
+            backlog=LISTEN_BACKLOG,
         )
         self._tcp_servers.append(server)
         bound_address = server.sockets[0].getsockname()[:2]
--- a/swiftchute/ingress/fair_protocol.py
+++ b/swiftchute/ingress/fair_protocol.py
@@ -12,7 +12,9 @@
 from swiftchute.ingress.turn_scheduler import SLICE_NS, TurnScheduler
 
 READ_BUFFER_BYTES = 16 * 1024
-PIECE_BYTES = 2 * 1024  # passed on in one call; the time is checked after each
+# Bytes that are passed on in one call: more after a call that took little of a slice, less after a long one.
+MIN_PIECE_BYTES, FIRST_PIECE_BYTES, MAX_PIECE_BYTES = 512, 2 * 1024, 8 * 1024
+SHORT_CALL_NS, LONG_CALL_NS = SLICE_NS // 16, SLICE_NS // 2
 
 _read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # of all connections: copied before the next read
 
@@ -67,6 +69,7 @@
         self._watcher = watcher
         self._transport: Any = None
         self._waiting = b""
+        self._piece_bytes = FIRST_PIECE_BYTES
         self._is_queued = False
         self._socket_paused = False
         self._protocol_paused = False
@@ -130,9 +133,11 @@
         elapsed_ns = 0
         try:
             while data and not self._protocol_paused and elapsed_ns < SLICE_NS:
-                self._protocol.data_received(bytes(data[:PIECE_BYTES]))
-                data = data[PIECE_BYTES:]
-                elapsed_ns = self._scheduler.clock() - start_ns
+                size = self._piece_bytes
+                self._protocol.data_received(bytes(data[:size]))
+                data = data[size:]
+                previous_ns, elapsed_ns = elapsed_ns, self._scheduler.clock() - start_ns
+                self._adapt_piece(elapsed_ns - previous_ns)
         except Exception:
             data = data[:0]
             self._transport.abort()
@@ -155,6 +160,13 @@
         else:
             self._update_socket()
 
+    def _adapt_piece(self, call_ns: int) -> None:
+        """Choose the size of the next piece by the time that the last one took."""
+        if call_ns < SHORT_CALL_NS:
+            self._piece_bytes = min(2 * self._piece_bytes, MAX_PIECE_BYTES)
+        elif call_ns > LONG_CALL_NS:
+            self._piece_bytes = max(self._piece_bytes // 2, MIN_PIECE_BYTES)
+
     def _wait(self) -> None:
         """Let the waiting bytes wait for the scheduler, or for the protocol if that has paused."""
         self._update_socket()
--- a/swiftchute/ingress/turn_scheduler.py
+++ b/swiftchute/ingress/turn_scheduler.py
@@ -14,9 +14,10 @@
 from weakref import WeakKeyDictionary
 
 NS_PER_MS = 1_000_000
-TURN_NS = 10 * NS_PER_MS  # time for received bytes in one iteration of the event loop
-SLICE_NS = 1 * NS_PER_MS  # time for one connection before another one has its turn
+TURN_NS = 2 * NS_PER_MS  # time for received bytes in one iteration of the loop, which accepts one connection
+SLICE_NS = NS_PER_MS // 2  # time for one connection before another one has its turn
 ASSUMED_NS_PER_BYTE = 1000  # time that waiting bytes are expected to take, to order those who wait
+MAX_EXPECTED_NS = 16 * NS_PER_MS  # the most that is expected
 
 
 _schedulers: "WeakKeyDictionary[asyncio.AbstractEventLoop, TurnScheduler]" = WeakKeyDictionary()
@@ -60,7 +61,7 @@
         self._numbers = itertools.count()
         self._turn_used_ns = 0
         self._turn_scheduled = False
-        self._floor_ns = 0  # time used by the connection that was served last: newcomers start from here
+        self._floor_ns = 0  # all that wait have used more time: newcomers start from here
 
     def may_run(self) -> bool:
         """Return whether a connection whose bytes have just arrived may process them at once."""
@@ -69,7 +70,7 @@
     def enqueue(self, connection: Runnable, waiting_bytes: int) -> None:
         """Let a connection wait for its next slice."""
         connection.used_ns = max(connection.used_ns, self._floor_ns)
-        expected_ns = connection.used_ns + waiting_bytes * ASSUMED_NS_PER_BYTE
+        expected_ns = connection.used_ns + min(waiting_bytes * ASSUMED_NS_PER_BYTE, MAX_EXPECTED_NS)
         heapq.heappush(self._waiting, (expected_ns, next(self._numbers), connection))
         self._schedule_turn()
 
@@ -90,8 +91,8 @@
         self._turn_used_ns = 0
         try:
             while self._waiting and self._turn_used_ns < TURN_NS:
-                _, _, connection = heapq.heappop(self._waiting)
-                self._floor_ns = max(self._floor_ns, connection.used_ns)
+                expected_ns, _, connection = heapq.heappop(self._waiting)
+                self._floor_ns = max(self._floor_ns, expected_ns - MAX_EXPECTED_NS)
                 connection.run_slice()
         finally:
             self._turn_used_ns = 0
--- a/swiftchute/xds/grpc_transport.py
+++ b/swiftchute/xds/grpc_transport.py
@@ -8,10 +8,15 @@
 from grpclib.protocol import H2Protocol
 from grpclib.server import Server, Stream
 
+from swiftchute.ingress.buffer_budget import BufferBudget
+from swiftchute.ingress.disconnect_watcher import disconnect_watcher
+from swiftchute.ingress.fair_protocol import FairProtocol
+from swiftchute.ingress.turn_scheduler import event_loop_turns
 from swiftchute.xds.errors import ProtocolViolationError
 
 HEADER_BYTES = 5  # gRPC message header: a compression flag and four bytes of length
 DEFAULT_MAX_CONNECTIONS = 10_000
+PIECE_BYTES = 16 * 1024  # of a message, received and counted at once
 
 
 class RawCodec(CodecBase):
@@ -28,14 +33,55 @@
         return bytes(data)
 
 
-async def receive(stream: Stream, max_bytes: int) -> bytes | None:
+class UnfinishedMessage:
+    """A message that is being received."""
+
+    def __init__(self) -> None:
+        """Create a message of which nothing was received."""
+        self._scope = asyncio.timeout(None)
+
+    async def receive(
+        self, stream: Any, length: int, unfinished: "BufferBudget[UnfinishedMessage] | None"
+    ) -> bytes:
+        """Return the message, or give it up if those of all clients take too much memory."""
+        pieces: list[bytes] = []
+        received_bytes = 0
+        try:
+            async with self._scope:
+                while received_bytes < length:
+                    piece = await stream.recv_data(min(length - received_bytes, PIECE_BYTES))
+                    assert piece, "the stream ended within a message"
+                    pieces.append(bytes(piece))
+                    received_bytes += len(piece)
+                    if unfinished is not None:
+                        for message in unfinished.update(self, received_bytes):
+                            message.give_up()
+        except TimeoutError:
+            text = "unfinished messages of all clients take too much memory"
+            raise ProtocolViolationError("RESOURCE_EXHAUSTED", text) from None
+        finally:
+            if unfinished is not None:
+                unfinished.release(self)
+        return b"".join(pieces)
+
+    def give_up(self) -> None:
+        """Let `receive` raise the next time that it waits."""
+        self._scope.reschedule(asyncio.get_running_loop().time())
+
+
+async def receive(
+    stream: Stream, max_bytes: int, unfinished: "BufferBudget[UnfinishedMessage] | None" = None
+) -> bytes | None:
     """Return the next message of a stream, or None at its end.
 
-    grpclib does not limit the size of messages, so the header is read here.
+    grpclib does not limit the size of messages, so the header is read here. Other tasks run between two
+    messages, also if both have been received already.
 
     Raises:
-        ProtocolViolationError: The message is too large or compressed; it is not read.
+        ProtocolViolationError: The message is too large or compressed and is not read, or the unfinished
+            messages of all clients take too much memory.
     """
+    await asyncio.sleep(0)
     if stream._stream is None:
         return None
     header = await stream._stream.recv_data(HEADER_BYTES)
@@ -47,7 +93,26 @@
     if length > max_bytes:
         text = f"message of {length} bytes, at most {max_bytes} are allowed"
         raise ProtocolViolationError("RESOURCE_EXHAUSTED", text)
-    return bytes(await stream._stream.recv_data(length))
+    return await UnfinishedMessage().receive(stream._stream, length, unfinished)
+
+
+class _BoundedH2Protocol(H2Protocol):
+    """A connection that reads nothing while its client does not read: each frame may need an answer."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set up the connection."""
+        self._reading: Any = transport
+        super().connection_made(transport)
+
+    def pause_writing(self) -> None:
+        """Stop reading as well."""
+        super().pause_writing()
+        self._reading.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Read again."""
+        super().resume_writing()
+        self._reading.resume_reading()
 
 
 class _RejectedConnection(asyncio.Protocol):
@@ -80,10 +145,11 @@
         if sum(1 for protocol in self._protocols if _is_open(protocol)) >= self._max_connections:
             self.rejected_connections += 1
             return cast(H2Protocol, _RejectedConnection())
-        protocol: Any = super()._protocol_factory()
+        created = super()._protocol_factory()
+        protocol: Any = _BoundedH2Protocol(created.handler, created.config, created.h2_config)
         protocol.connection = None  # until it is made
         self._protocols.add(protocol)
-        return protocol
+        return cast(H2Protocol, FairProtocol(event_loop_turns(), protocol, disconnect_watcher()))
 
     def abort_connections(self) -> None:
         """Abort all open connections, as if the process had died."""
--- a/swiftchute/xds/server.py
+++ b/swiftchute/xds/server.py
@@ -18,10 +18,11 @@
 from grpclib.server import Stream
 
 from swiftchute.api.settings import Settings
+from swiftchute.ingress.buffer_budget import BufferBudget
 from swiftchute.xds import load_reports, messages
 from swiftchute.xds.errors import ProtocolViolationError
 from swiftchute.xds.frontend import FrontendOutput, XdsFrontend
-from swiftchute.xds.grpc_transport import AbortableServer, RawCodec, receive
+from swiftchute.xds.grpc_transport import AbortableServer, RawCodec, UnfinishedMessage, receive
 
 SECOND_NS = 1_000_000_000
 ADS = "/envoy.service.discovery.v3.AggregatedDiscoveryService/"
@@ -29,6 +30,7 @@
 # Responses that wait for a client's window; five types with one pending response each need fewer.
 MAX_QUEUED_RESPONSES = 64
 STOP_TIMEOUT_S = 2
+MAX_UNFINISHED_MESSAGES = 16  # of the largest size, that all clients together may leave in memory
 CONNECTION_WINDOW_BYTES = 2**20
 STREAM_WINDOW_BYTES = 2**18
 LISTEN_BACKLOG = 1024
@@ -79,6 +81,9 @@
         self._max_streams: int = options["streams"]
         self._max_message_bytes: int = options["max_message"]
         self._read_timeout_s = options["read_within"] / SECOND_NS  # for a first request and for each write
+        self._unfinished: BufferBudget[UnfinishedMessage] = BufferBudget(
+            MAX_UNFINISHED_MESSAGES * self._max_message_bytes
+        )
         self._request_round = request_round
         self._clock = clock
         self._log = log
@@ -165,7 +170,7 @@
         self._unidentified_streams += 1
         try:
             async with asyncio.timeout(self._read_timeout_s):
-                return await receive(stream, self._max_message_bytes)
+                return await receive(stream, self._max_message_bytes, self._unfinished)
         except TimeoutError:
             raise ProtocolViolationError("DEADLINE_EXCEEDED", "first request not received in time") from None
         finally:
@@ -184,7 +189,7 @@
             while True:
                 self._frontend.on_request(stream_id, request, self._clock())
                 self._request_round()
-                data = await receive(stream, self._max_message_bytes)
+                data = await receive(stream, self._max_message_bytes, self._unfinished)
                 if data is None:
                     break
                 request, _ = messages.decode(data, delta)
@@ -250,7 +255,7 @@
             while self._report_streams.get(node) == stream_id:
                 self._frontend.on_load_report(node, report, self._clock())
                 self._request_round()
-                data = await receive(stream, self._max_message_bytes)
+                data = await receive(stream, self._max_message_bytes, self._unfinished)
                 if data is None:
                     return
                 report, _ = load_reports.decode(data, self._operations)
