Proxy: connect again after a response of the control plane that cannot be used

After one response that is not protobuf, has no sequence number in its nonce or an unknown type, the proxy never hears of any change again, and nothing is logged. Cause: `XdsClient.receive` raised DecodeError, ValueError or KeyError, which ended the task that connects. Change: it raises ControlPlaneResponseError, which ends the stream like any other error of it; the client connects to the next server. A route without virtual hosts counts as missing. Other tasks run between two responses.

--- a/swiftchute/proxy/control_client.py
+++ b/swiftchute/proxy/control_client.py
@@ -15,12 +15,20 @@
 from grpclib.const import Cardinality
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from swiftchute.proxy.errors import ControlPlaneResponseError
 from swiftchute.proxy.settings import NS_PER_S
 from swiftchute.proxy.xds_client import XdsClient
 from swiftchute.xds.grpc_transport import RawCodec
 from swiftchute.xds.server import ADS, LRS
 
-STREAM_ERRORS = (GRPCError, StreamTerminatedError, ConnectionError, OSError, asyncio.TimeoutError)
+STREAM_ERRORS = (
+    GRPCError,
+    StreamTerminatedError,
+    ControlPlaneResponseError,
+    ConnectionError,
+    OSError,
+    asyncio.TimeoutError,
+)
 CONNECT_TIMEOUT_S = 2.0
 RECONNECT_DELAY_S = (0.1, 0.6)  # range of the random delay
 KEEPALIVE_S = 1.0  # interval between pings, and timeout of their acknowledgement
@@ -148,6 +156,7 @@
             self.on_stream_opened(server, stream_number)
             while True:
                 await self.before_receiving()
+                await asyncio.sleep(0)  # other tasks run between two responses, also if both have come
                 data = await stream.recv_message()
                 if data is None:
                     return
--- a/swiftchute/proxy/errors.py
+++ b/swiftchute/proxy/errors.py
@@ -15,5 +15,9 @@
     """A picker was made for a table without endpoints."""
 
 
+class ControlPlaneResponseError(ProxyError):
+    """A response of the control plane cannot be used; the text has the cause."""
+
+
 class TableCacheError(ProxyError):
     """The table cache file cannot be used; the text names the file and the cause."""
--- a/swiftchute/proxy/xds_client.py
+++ b/swiftchute/proxy/xds_client.py
@@ -39,6 +39,7 @@
     table_from_resources,
     weights_of,
 )
+from swiftchute.proxy.errors import ControlPlaneResponseError
 from swiftchute.proxy.load_stats import ClusterLoad
 from swiftchute.xds import names
 
@@ -136,7 +137,16 @@
 
         Returns:
             The ACK or NACK, followed by subscription changes; empty for an ignored response.
+
+        Raises:
+            ControlPlaneResponseError: the response is not one of the protocol; no table is changed.
         """
+        try:
+            return self._receive(data)
+        except (DecodeError, KeyError, ValueError, IndexError) as error:
+            raise ControlPlaneResponseError(f"{type(error).__name__}: {error}") from None
+
+    def _receive(self, data: bytes) -> list[bytes]:
         response = self._response_type.FromString(data)
         type_url = response.type_url
         if not self._accept_nonce(type_url, response.nonce):
@@ -304,7 +314,7 @@
     def _complete_table(self, operation: str) -> EndpointTable | None:
         """Build an operation's table from its resources; None if a resource is missing."""
         route = self.resources[names.RDS].get(operation)
-        if route is None:
+        if route is None or not route[1].virtual_hosts or not route[1].virtual_hosts[0].routes:
             return None
         action = route[1].virtual_hosts[0].routes[0].route
         cluster = self.resources[names.CDS].get(action.cluster)
--- /dev/null
+++ b/tests/proxy/test_control_client.py
@@ -0,0 +1,102 @@
+"""A proxy's connection to a control plane that sends what it cannot use, or at full speed."""
+
+import asyncio
+import threading
+import time
+
+import pytest
+import uvloop
+from envoy.service.discovery.v3.discovery_pb2 import DeltaDiscoveryResponse
+from grpclib.const import Cardinality, Handler
+from grpclib.server import Server
+
+from swiftchute.proxy.control_client import ControlPlaneClient
+from swiftchute.proxy.xds_client import XdsClient
+from swiftchute.xds import names
+from swiftchute.xds.grpc_transport import RawCodec
+from swiftchute.xds.server import ADS
+
+MAX_PAUSE_S = 0.5  # of the event loop, in which a proxy serves nobody
+
+
+class FakeControlPlane:
+    """Sends a response `count` times on each stream."""
+
+    def __init__(self, response, count):
+        self.response, self.count, self.streams, self.sent = response, count, 0, 0
+
+    def __mapping__(self):
+        return {
+            ADS + "DeltaAggregatedResources": Handler(self._serve, Cardinality.STREAM_STREAM, bytes, bytes)
+        }
+
+    async def _serve(self, stream):
+        self.streams += 1
+        await stream.recv_message()
+        for _ in range(self.count):
+            await stream.send_message(self.response)
+            self.sent += 1
+        await asyncio.sleep(60)
+
+
+class ControlPlaneThread(threading.Thread):
+    """Serves a fake control plane on an event loop of its own."""
+
+    def __init__(self, control_plane):
+        super().__init__(daemon=True)
+        self.control_plane, self.ready, self.loop = control_plane, threading.Event(), None
+
+    def run(self):
+        asyncio.run(self._serve())
+
+    async def _serve(self):
+        server = Server([self.control_plane], codec=RawCodec())
+        await server.start("127.0.0.1", 0)
+        self.address = server._server.sockets[0].getsockname()[:2]
+        self.loop, self.stopping = asyncio.get_running_loop(), asyncio.Event()
+        self.ready.set()
+        await self.stopping.wait()
+        server.close()
+
+    def stop(self):
+        self.loop.call_soon_threadsafe(self.stopping.set)
+        self.join(10)
+
+
+async def connect_client(server, seconds):
+    """Run a client for a while; return the longest pause of its event loop."""
+    server.start()
+    assert server.ready.wait(10)
+    client = ControlPlaneClient(XdsClient("gw", "z", 1.0), [server.address], 1, reconnect_delay_s=(0.05, 0.1))
+    client.start()
+    longest_s, previous_s, deadline_s = 0.0, time.monotonic(), time.monotonic() + seconds
+    while previous_s < deadline_s:
+        await asyncio.sleep(0.005)
+        now_s = time.monotonic()
+        longest_s, previous_s = max(longest_s, now_s - previous_s), now_s
+    await client.stop()
+    server.stop()
+    return longest_s
+
+
+def response(type_url, nonce):
+    return DeltaDiscoveryResponse(type_url=type_url, nonce=nonce).SerializeToString()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"\xff\xff\xff", b"", response("unknown", "a-1"), response(names.LDS, "no number")],
+    ids=["bytes", "empty", "type", "nonce"],
+)
+def test_a_client_connects_again_after_a_response_that_it_cannot_use(data):
+    """Guards against a proxy that is never told of any change again after one unsound response."""
+    control_plane = FakeControlPlane(data, 1)
+    uvloop.run(connect_client(ControlPlaneThread(control_plane), 1.5))
+    assert control_plane.streams >= 3
+
+
+def test_responses_at_full_speed_do_not_stop_the_event_loop():
+    """Guards against a proxy that serves no request while its control plane sends without a pause."""
+    control_plane = FakeControlPlane(response(names.LDS, "a-1"), 20_000)
+    assert uvloop.run(connect_client(ControlPlaneThread(control_plane), 3)) < MAX_PAUSE_S
+    assert control_plane.sent > 1000
