Ingress: faults found when the change was read again, and what each would have done

- HTTP/2 connections to endpoints kept a dictionary entry for each response, for good (test: 50 responses left 50 entries).
- Bytes were still passed to a protocol that had closed its connection; grpclib has let go of its transport by then (test).
- All event loops of a process read into one buffer; it belongs to the scheduler of a loop now.
- A caller that always has some answers unread but goes on reading was taken for the oldest one that reads nothing; a decrease now counts as progress (test).
- The epoll descriptor of ADS is opened at the start, where a failure is reported, not with the first connection.
A message cut short ends with a typed error, not with an assertion.
Pausing twice costs nothing.

--- a/swiftchute/admin/server.py
+++ b/swiftchute/admin/server.py
@@ -16,7 +16,6 @@
 
 from swiftchute.admin import protocol
 from swiftchute.admin.errors import CommandRejectedError, RequestError
-from swiftchute.ingress.disconnect_watcher import disconnect_watcher
 from swiftchute.ingress.fair_protocol import FairProtocol
 from swiftchute.ingress.turn_scheduler import event_loop_turns
 
@@ -119,11 +118,11 @@
         """
         self._remove_stale_socket()
         loop = asyncio.get_running_loop()
-        turns, watcher = event_loop_turns(), disconnect_watcher()
+        turns = event_loop_turns()
         previous_umask = os.umask(SOCKET_UMASK)
         try:
             self._listener = await loop.create_unix_server(
-                lambda: FairProtocol(turns, _AdminConnection(self), watcher), self._path
+                lambda: FairProtocol(turns, _AdminConnection(self)), self._path
             )
         finally:
             os.umask(previous_umask)
--- a/swiftchute/dns/server.py
+++ b/swiftchute/dns/server.py
@@ -15,7 +15,6 @@
 from swiftchute.dns.frontend import DnsFrontend
 from swiftchute.dns.query import HEADER_BYTES
 from swiftchute.dns.settings import Address
-from swiftchute.ingress.disconnect_watcher import disconnect_watcher
 from swiftchute.ingress.fair_protocol import FairProtocol
 from swiftchute.ingress.turn_scheduler import event_loop_turns
 
@@ -166,9 +165,9 @@
         """Serve a view over TCP and, on the same port, over UDP."""
         loop = asyncio.get_running_loop()
         host, port = address
-        turns, watcher = event_loop_turns(), disconnect_watcher()
+        turns = event_loop_turns()
         server = await loop.create_server(
-            lambda: FairProtocol(turns, _StreamProtocol(self, view), watcher),
+            lambda: FairProtocol(turns, _StreamProtocol(self, view)),
             host,
             port,
             backlog=LISTEN_BACKLOG,
--- a/swiftchute/ingress/buffer_budget.py
+++ b/swiftchute/ingress/buffer_budget.py
@@ -1,7 +1,7 @@
 """The bytes that all clients together may leave in memory: unfinished or unread messages. No I/O, no clock.
 
 When the limit is exceeded, the clients whose bytes have been there for longest have to give them up. A client
-that sends or reads without stopping has none for a moment again and again, so it is not among them.
+that completes its messages, or goes on reading, is not among them.
 """
 
 from collections.abc import Iterator
@@ -26,7 +26,7 @@
         self.limit_bytes = limit_bytes
         self.total_bytes = 0
         self.evicted = 0
-        self._bytes: dict[Owner, int] = {}  # in the order in which the owners began to have any
+        self._bytes: dict[Owner, int] = {}  # the one first that has had some for longest without a decrease
 
     def update(self, owner: Owner, buffered_bytes: int) -> Iterator[Owner]:
         """Set the bytes of an owner; yield the owners that have to give up theirs.
@@ -34,10 +34,10 @@
         The caller discards the bytes of each owner that is yielded. It may be the owner itself.
         """
         previous_bytes = self._bytes.get(owner, 0)
+        if buffered_bytes < previous_bytes:
+            self._bytes.pop(owner)
         if buffered_bytes:
             self._bytes[owner] = buffered_bytes
-        else:
-            self._bytes.pop(owner, None)
         self.total_bytes += buffered_bytes - previous_bytes
         while self.total_bytes > self.limit_bytes:
             oldest = next((o for o, size in self._bytes.items() if size >= MIN_EVICTABLE_BYTES), None)
--- a/swiftchute/ingress/fair_protocol.py
+++ b/swiftchute/ingress/fair_protocol.py
@@ -11,13 +11,10 @@
 from swiftchute.ingress.disconnect_watcher import DisconnectWatcher
 from swiftchute.ingress.turn_scheduler import SLICE_NS, TurnScheduler
 
-READ_BUFFER_BYTES = 16 * 1024
 # Bytes that are passed on in one call: more after a call that took little of a slice, less after a long one.
 MIN_PIECE_BYTES, FIRST_PIECE_BYTES, MAX_PIECE_BYTES = 512, 2 * 1024, 8 * 1024
 SHORT_CALL_NS, LONG_CALL_NS = SLICE_NS // 16, SLICE_NS // 2
 
-_read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))  # of all connections: copied before the next read
-
 
 class GatedTransport:
     """A transport whose reading is paused while either the protocol or the scheduler wants it."""
@@ -90,12 +87,12 @@
         self._protocol.connection_made(GatedTransport(transport, self))
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the buffer to read into."""
-        return _read_buffer
+        """Return the buffer to read into: that of the event loop, as each read is copied before the next."""
+        return self._scheduler.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass received bytes on, or let them wait."""
-        self._waiting += bytes(_read_buffer[:nbytes])
+        self._waiting += bytes(self._scheduler.read_buffer[:nbytes])
         if not self._is_queued and not self._protocol_paused and self._scheduler.may_run():
             self.run_slice()
         else:
@@ -133,6 +130,9 @@
         elapsed_ns = 0
         try:
             while data and not self._protocol_paused and elapsed_ns < SLICE_NS:
+                if self._is_closed_here:
+                    data = data[:0]
+                    break
                 size = self._piece_bytes
                 self._protocol.data_received(bytes(data[:size]))
                 data = data[size:]
@@ -154,12 +154,19 @@
 
     def set_protocol_paused(self, paused: bool) -> None:
         """Stop or continue to pass bytes on, for the protocol."""
+        if paused == self._protocol_paused:
+            return
         self._protocol_paused = paused
         if not paused and self._waiting:
             self._wait()
         else:
             self._update_socket()
 
+    @property
+    def _is_closed_here(self) -> bool:
+        """Whether the protocol has closed the connection: it expects no more bytes then."""
+        return not self._is_lost and self._transport.is_closing()
+
     def _adapt_piece(self, call_ns: int) -> None:
         """Choose the size of the next piece by the time that the last one took."""
         if call_ns < SHORT_CALL_NS:
--- a/swiftchute/ingress/turn_scheduler.py
+++ b/swiftchute/ingress/turn_scheduler.py
@@ -18,6 +18,7 @@
 SLICE_NS = NS_PER_MS // 2  # time for one connection before another one has its turn
 ASSUMED_NS_PER_BYTE = 1000  # time that waiting bytes are expected to take, to order those who wait
 MAX_EXPECTED_NS = 16 * NS_PER_MS  # the most that is expected
+READ_BUFFER_BYTES = 16 * 1024  # read from one connection at once
 
 
 _schedulers: "WeakKeyDictionary[asyncio.AbstractEventLoop, TurnScheduler]" = WeakKeyDictionary()
@@ -46,7 +47,12 @@
 
 
 class TurnScheduler:
-    """Shares the time of one event loop between its connections."""
+    """Shares the time of one event loop between its connections.
+
+    Attributes:
+        clock: Returns the time in nanoseconds.
+        read_buffer: Buffer that all connections of the event loop read into.
+    """
 
     def __init__(self, clock: Callable[[], int], call_soon: Callable[[Callable[[], None]], object]) -> None:
         """Create a scheduler without waiting connections.
@@ -56,6 +62,7 @@
             call_soon: Calls a function in the next iteration of the event loop.
         """
         self.clock = clock
+        self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self._call_soon = call_soon
         self._waiting: list[tuple[int, int, Runnable]] = []  # heap by expected time used and order of arrival
         self._numbers = itertools.count()
--- a/swiftchute/proxy/http2_connection.py
+++ b/swiftchute/proxy/http2_connection.py
@@ -204,10 +204,15 @@
         if flags & END_HEADERS_FLAG:
             self._header_block_bytes = 0
 
+    def _note_unfinished(self, stream_id: int, size: int) -> None:
+        """Keep the size of a request that is being received; nobody asks for those of responses."""
+        if not self.client:
+            self._unfinished_sizes[stream_id] = size
+
     def _forget_partial(self, stream_id: int) -> PartialMessage | None:
         partial = self._partial_messages.pop(stream_id, None)
         if partial is not None:
-            self._unfinished_sizes[stream_id] = 0
+            self._note_unfinished(stream_id, 0)
         return partial
 
     def _handle(self, h2_event: Any, events: list[HttpEvent]) -> None:
@@ -215,7 +220,7 @@
             case h2.events.RequestReceived() | h2.events.ResponseReceived():
                 message = PartialMessage(list(h2_event.headers))
                 self._partial_messages[h2_event.stream_id] = message
-                self._unfinished_sizes[h2_event.stream_id] = message.memory_bytes
+                self._note_unfinished(h2_event.stream_id, message.memory_bytes)
             case h2.events.TrailersReceived():
                 partial = self._partial_messages.get(h2_event.stream_id)
                 if partial is not None:
@@ -245,7 +250,7 @@
             events.append(MessageTooLarge(stream_id))
         else:
             partial.add_body(h2_event.data)
-            self._unfinished_sizes[stream_id] = partial.memory_bytes
+            self._note_unfinished(stream_id, partial.memory_bytes)
 
     def _handle_stream_ended(self, stream_id: int, events: list[HttpEvent]) -> None:
         partial = self._forget_partial(stream_id)
--- a/swiftchute/xds/grpc_transport.py
+++ b/swiftchute/xds/grpc_transport.py
@@ -5,11 +5,12 @@
 from typing import Any, cast
 
 from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import StreamTerminatedError
 from grpclib.protocol import H2Protocol
 from grpclib.server import Server, Stream
 
 from swiftchute.ingress.buffer_budget import BufferBudget
-from swiftchute.ingress.disconnect_watcher import disconnect_watcher
+from swiftchute.ingress.disconnect_watcher import DisconnectWatcher, disconnect_watcher
 from swiftchute.ingress.fair_protocol import FairProtocol
 from swiftchute.ingress.turn_scheduler import event_loop_turns
 from swiftchute.xds.errors import ProtocolViolationError
@@ -50,7 +51,8 @@
             async with self._scope:
                 while received_bytes < length:
                     piece = await stream.recv_data(min(length - received_bytes, PIECE_BYTES))
-                    assert piece, "the stream ended within a message"
+                    if not piece:
+                        raise StreamTerminatedError("the stream ended within a message")
                     pieces.append(bytes(piece))
                     received_bytes += len(piece)
                     if unfinished is not None:
@@ -134,6 +136,12 @@
         self.rejected_connections = 0
         self._protocols: weakref.WeakSet[Any] = weakref.WeakSet()
         self._max_connections = max_connections
+        self._watcher: DisconnectWatcher | None = None  # until it is started
+
+    async def start(self, *arguments: Any, **options: Any) -> None:
+        """Listen; arguments and options are those of grpclib's `Server`."""
+        self._watcher = disconnect_watcher()
+        await super().start(*arguments, **options)
 
     @property
     def address(self) -> tuple[str, int]:
@@ -149,7 +157,7 @@
         protocol: Any = _BoundedH2Protocol(created.handler, created.config, created.h2_config)
         protocol.connection = None  # until it is made
         self._protocols.add(protocol)
-        return cast(H2Protocol, FairProtocol(event_loop_turns(), protocol, disconnect_watcher()))
+        return cast(H2Protocol, FairProtocol(event_loop_turns(), protocol, self._watcher))
 
     def abort_connections(self) -> None:
         """Abort all open connections, as if the process had died."""
--- a/tests/ingress/test_buffer_budget.py
+++ b/tests/ingress/test_buffer_budget.py
@@ -26,3 +26,11 @@
     assert list(budget.update("large", 20 * KIB)) == ["large"]
     budget.release("small")
     assert budget.total_bytes == 0
+
+
+def test_a_client_that_goes_on_reading_keeps_its_bytes():
+    """Guards against a reset for a caller that reads, in place of those that read nothing."""
+    budget = BufferBudget(10 * KIB)
+    for client, size in (("reader", 5), ("idle", 4), ("reader", 4)):
+        assert list(budget.update(client, size * KIB)) == []
+    assert list(budget.update("other", 4 * KIB)) == ["idle"]
--- a/tests/ingress/test_turn_scheduler.py
+++ b/tests/ingress/test_turn_scheduler.py
@@ -4,10 +4,9 @@
     FIRST_PIECE_BYTES,
     MAX_PIECE_BYTES,
     MIN_PIECE_BYTES,
-    READ_BUFFER_BYTES,
     FairProtocol,
 )
-from swiftchute.ingress.turn_scheduler import SLICE_NS, TURN_NS, TurnScheduler
+from swiftchute.ingress.turn_scheduler import READ_BUFFER_BYTES, SLICE_NS, TURN_NS, TurnScheduler
 
 
 class Loop:
@@ -197,3 +196,16 @@
         except ZeroDivisionError:
             assert connection._transport.aborted
     assert len(other.received) == READ_BUFFER_BYTES
+
+
+def test_nothing_is_passed_on_after_the_protocol_has_closed_its_connection():
+    """Guards against bytes for a protocol that has let go of its transport."""
+    loop = Loop()
+    handler, connection = connected(loop)
+    received = []
+    handler.data_received = lambda data: (received.append(len(data)), handler.transport.close())
+    receive(connection, bytes(READ_BUFFER_BYTES))
+    while loop.callbacks:
+        loop.turn()
+    assert received == [FIRST_PIECE_BYTES]
+    assert not connection.has_waiting_input
--- a/tests/proxy/test_http2_connection.py
+++ b/tests/proxy/test_http2_connection.py
@@ -115,3 +115,15 @@
             connection.receive_data(sent)
         except HttpFramingError:
             assert connection.closing
+
+
+def test_a_client_keeps_nothing_of_responses_that_are_complete():
+    """Guards against memory for each response, for as long as a connection to an endpoint lasts."""
+    client, server = connected_pair()
+    for _ in range(50):
+        stream_id = client.send(HttpMessage(0, REQUEST_HEADERS, b"x"))
+        exchange(client, server)
+        server.send(HttpMessage(stream_id, RESPONSE_HEADERS, b"y"))
+        exchange(client, server)
+    assert client.take_unfinished_sizes() == {0: 0}
+    assert server.take_unfinished_sizes().keys() == {0, *range(1, 100, 2)}
