Proxy: a client of the control plane stops however recently its connection was lost

Callers saw: `ControlPlaneClient.stop` waits for ever if it is called 1 to 5 turns of the event loop after the loss of the connection. Cause: the wait for the load report task suppressed CancelledError, also that of the caller, which went on to connect again. Change: the wait does not swallow a cancellation. On the same path, a load report response that is not protobuf ended the task that connects when the connection was lost later; it is a ControlPlaneResponseError now.

--- a/swiftchute/proxy/control_client.py
+++ b/swiftchute/proxy/control_client.py
@@ -5,11 +5,11 @@
 """
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Sequence
 
 from envoy.service.load_stats.v3.lrs_pb2 import LoadStatsResponse
+from google.protobuf.message import DecodeError
 from grpclib.client import Channel
 from grpclib.config import Configuration
 from grpclib.const import Cardinality
@@ -131,11 +131,9 @@
             if self.connected_to:
                 self.on_stream_closed(self.connected_to, stream)
             self.connected_to = None
-            if report_task:
-                report_task.cancel()
-                with contextlib.suppress(asyncio.CancelledError, *STREAM_ERRORS):
-                    await report_task
             channel.close()
+            if report_task:
+                await _cancel(report_task)
 
     def _configuration(self) -> Configuration:
         return Configuration(
@@ -174,8 +172,24 @@
             response = await stream.recv_message()
             if response is None:
                 return
-            interval = LoadStatsResponse.FromString(response).load_reporting_interval
+            try:
+                interval = LoadStatsResponse.FromString(response).load_reporting_interval
+            except DecodeError as error:
+                raise ControlPlaneResponseError(f"load report response: {error}") from None
             interval_s = interval.ToNanoseconds() / NS_PER_S
             while True:
                 await asyncio.sleep(max(interval_s, MIN_REPORT_INTERVAL_S))
                 await stream.send_message(self.client.build_load_report(interval_s))
+
+
+async def _cancel(task: asyncio.Task[None]) -> None:
+    """Cancel a task and wait for its end, without swallowing a cancellation of the caller meanwhile.
+
+    Raises:
+        Exception: the task has failed for another reason than the end of its stream.
+    """
+    task.cancel()
+    await asyncio.wait([task])
+    error = None if task.cancelled() else task.exception()
+    if error is not None and not isinstance(error, STREAM_ERRORS):
+        raise error
--- a/tests/proxy/test_control_client.py
+++ b/tests/proxy/test_control_client.py
@@ -14,7 +14,7 @@
 from swiftchute.proxy.xds_client import XdsClient
 from swiftchute.xds import names
 from swiftchute.xds.grpc_transport import RawCodec
-from swiftchute.xds.server import ADS
+from swiftchute.xds.server import ADS, LRS
 
 MAX_PAUSE_S = 0.5  # of the event loop, in which a proxy serves nobody
 
@@ -22,17 +22,27 @@
 class FakeControlPlane:
     """Sends a response `count` times on each stream."""
 
-    def __init__(self, response, count):
+    def __init__(self, response, count, report_response=None):
         self.response, self.count, self.streams, self.sent = response, count, 0, 0
+        self.report_response = report_response
 
     def __mapping__(self):
+        cardinality = Cardinality.STREAM_STREAM
         return {
-            ADS + "DeltaAggregatedResources": Handler(self._serve, Cardinality.STREAM_STREAM, bytes, bytes)
+            ADS + "DeltaAggregatedResources": Handler(self._serve, cardinality, bytes, bytes),
+            LRS: Handler(self._serve_reports, cardinality, bytes, bytes),
         }
 
+    async def _serve_reports(self, stream):
+        await stream.recv_message()
+        if self.report_response is not None:
+            await stream.send_message(self.report_response)
+        await asyncio.sleep(60)
+
     async def _serve(self, stream):
         self.streams += 1
         await stream.recv_message()
+        await asyncio.sleep(0.2)  # the answer to the load report comes first
         for _ in range(self.count):
             await stream.send_message(self.response)
             self.sent += 1
@@ -100,3 +110,45 @@
     control_plane = FakeControlPlane(response(names.LDS, "a-1"), 20_000)
     assert uvloop.run(connect_client(ControlPlaneThread(control_plane), 3)) < MAX_PAUSE_S
     assert control_plane.sent > 1000
+
+
+def test_a_client_connects_again_after_a_report_response_that_it_cannot_use():
+    """Guards against a proxy that hears of no change any more after one unsound load report response."""
+    control_plane = FakeControlPlane(b"\xff\xff\xff", 1, report_response=b"\xff\xff\xff")
+    uvloop.run(connect_client(ControlPlaneThread(control_plane), 1.5))
+    assert control_plane.streams >= 3
+
+
+class LostConnectionClient(ControlPlaneClient):
+    """A client whose connection is lost when `lost` is set; its reports need a while to end."""
+
+    async def _run_stream(self, channel, server, stream_number):
+        await self.lost.wait()
+        raise ConnectionError("lost")
+
+    async def _run_load_reports(self, channel):
+        try:
+            await asyncio.sleep(60)
+        finally:
+            for _ in range(3):
+                await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize("turns", range(8))
+def test_a_client_stops_however_recently_its_connection_was_lost(turns):
+    """Guards against a stop that waits for ever, as the wait for the reports swallowed the cancellation."""
+
+    async def scenario():
+        server = await asyncio.get_running_loop().create_server(asyncio.Protocol, "127.0.0.1", 0)
+        client = LostConnectionClient(XdsClient("gw", "z", 1.0), [server.sockets[0].getsockname()], 1)
+        client.lost = asyncio.Event()
+        client.start()
+        await asyncio.sleep(0.1)
+        client.lost.set()
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        async with asyncio.timeout(2):
+            await client.stop()
+        server.close()
+
+    asyncio.run(scenario())
