Proxy: what its control plane sends waits for its turn as well

Cause: as on the listening ports, all received bytes were handled in one go. Change: FairChannel wraps the client's connection by FairProtocol.

--- a/swiftchute/proxy/control_client.py
+++ b/swiftchute/proxy/control_client.py
@@ -18,7 +18,7 @@
 from swiftchute.proxy.errors import ControlPlaneResponseError
 from swiftchute.proxy.settings import NS_PER_S
 from swiftchute.proxy.xds_client import XdsClient
-from swiftchute.xds.grpc_transport import RawCodec
+from swiftchute.xds.grpc_transport import FairChannel, RawCodec
 from swiftchute.xds.server import ADS, LRS
 
 STREAM_ERRORS = (
@@ -118,7 +118,7 @@
 
     async def _run_connection(self, host: str, port: int, stream: int) -> None:
         """Run one connection until it fails or ends."""
-        channel = self._channel = Channel(host, port, codec=RawCodec(), config=self._configuration())
+        channel = self._channel = FairChannel(host, port, codec=RawCodec(), config=self._configuration())
         report_task = None
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/swiftchute/xds/grpc_transport.py
+++ b/swiftchute/xds/grpc_transport.py
@@ -4,6 +4,7 @@
 import weakref
 from typing import Any, cast
 
+from grpclib.client import Channel
 from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import StreamTerminatedError
 from grpclib.protocol import H2Protocol
@@ -117,6 +118,18 @@
         self._reading.resume_reading()
 
 
+class FairChannel(Channel):
+    """A client's channel whose received bytes wait for their turn like those of a server."""
+
+    async def _create_connection(self) -> H2Protocol:
+        protocol = self._protocol_factory()
+        turns, watcher = event_loop_turns(), disconnect_watcher()
+        await self._loop.create_connection(
+            lambda: FairProtocol(turns, protocol, watcher), self._host, self._port
+        )
+        return protocol
+
+
 class _RejectedConnection(asyncio.Protocol):
     """Closes a connection past the limit without reading from it."""
 
--- a/tests/proxy/test_control_client.py
+++ b/tests/proxy/test_control_client.py
@@ -1,6 +1,8 @@
 """A proxy's connection to a control plane that sends what it cannot use, or at full speed."""
 
 import asyncio
+import contextlib
+import socket
 import threading
 import time
 
@@ -15,6 +17,7 @@
 from swiftchute.xds import names
 from swiftchute.xds.grpc_transport import RawCodec
 from swiftchute.xds.server import ADS, LRS
+from tests.support.hostile_bytes import frame
 
 MAX_PAUSE_S = 0.5  # of the event loop, in which a proxy serves nobody
 
@@ -73,6 +76,38 @@
         self.join(10)
 
 
+class PingServer(threading.Thread):
+    """Accepts connections and sends HTTP/2 pings at full speed."""
+
+    def __init__(self):
+        super().__init__(daemon=True)
+        self.listener, self.ready, self.sent_bytes = (
+            socket.create_server(("127.0.0.1", 0)),
+            threading.Event(),
+            0,
+        )
+        self.address = self.listener.getsockname()
+        self.ready.set()
+
+    def run(self):
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self.listener.accept()
+                threading.Thread(target=self._discard, args=(connection,), daemon=True).start()
+                with contextlib.suppress(OSError):
+                    connection.sendall(frame(4, 0, 0, b""))
+                    while True:
+                        self.sent_bytes += connection.send(frame(6, 0, 0, bytes(8)) * 4000)
+
+    def _discard(self, connection):
+        with contextlib.suppress(OSError):
+            while connection.recv(1 << 16):
+                pass
+
+    def stop(self):
+        self.listener.close()
+
+
 async def connect_client(server, seconds):
     """Run a client for a while; return the longest pause of its event loop."""
     server.start()
@@ -152,3 +187,10 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+def test_pings_at_full_speed_do_not_stop_the_event_loop():
+    """Guards against frames that are handled in one go, however many have come."""
+    server = PingServer()
+    assert uvloop.run(connect_client(server, 3)) < MAX_PAUSE_S
+    assert server.sent_bytes > 1 << 20
