A single owner is taken away only if the quotas have room for naming the next

Callers would see: a change of owner takes two messages. Where a proxy had room for one within its quota, its table was cleared, and the key range stayed without an owner until the window had passed, longer than the rule allows. Cause: found when the change was read again. Both messages were reserved one by one; the fleet of the tests ran without quotas. Change: the first message is reserved only if each proxy's quota has room for two (EgressBudget.reserve, `messages`). The fleet judges quotas. Test: test_owner_is_not_taken_away_if_the_message_of_the_next_one_would_exceed_a_quota fails without the change.

--- a/swiftchute/policy/egress_budget.py
+++ b/swiftchute/policy/egress_budget.py
@@ -129,7 +129,12 @@
         report_condition(state, "slow channel", slow, f"{self.channel_speed_ratio:.2f} of its usual pace")
 
     def reserve(
-        self, state: PolicyState, proxies: Iterable[ProxyId], entries: int, kind: PushKind
+        self,
+        state: PolicyState,
+        proxies: Iterable[ProxyId],
+        entries: int,
+        kind: PushKind,
+        messages: int = 1,
     ) -> Reservation:
         """Reserve capacity for a number of entries to each of the proxies; nothing unless it is granted.
 
@@ -138,11 +143,12 @@
             proxies: Proxies to write to.
             entries: Number of entries for each of them.
             kind: What they are for; it decides how much of the channel and of the quotas may be used.
+            messages: How many messages to each proxy the quotas must have room for, this one included.
         """
         overhead = state.settings.message_overhead_entries + ACK_REQUEST_ENTRIES
         costs = {p: entries + (0 if p in self.reserved_entries else overhead) for p in proxies}
         total_cost = sum(costs.values())
-        reservation = self._check(state, costs, total_cost, kind)
+        reservation = self._check(state, costs, total_cost, kind, messages)
         if reservation is Reservation.CHANNEL_FULL:
             self._turns.on_refused(kind)
         if reservation is not Reservation.GRANTED:
@@ -156,7 +162,7 @@
         return reservation
 
     def _check(
-        self, state: PolicyState, proxies: Iterable[ProxyId], cost: float, kind: PushKind
+        self, state: PolicyState, proxies: Iterable[ProxyId], cost: float, kind: PushKind, messages: int
     ) -> Reservation:
         """Return whether messages of a total cost may be written to the proxies."""
         threshold, quota_fraction = _LIMITS[kind]
@@ -169,7 +175,7 @@
         if not self._channel_has_capacity(state, cost, threshold):
             is_stalled = state.now_ns - self._moved_at_ns > STALL_NS
             return Reservation.NO_ROOM_EXPECTED if is_stalled else Reservation.CHANNEL_FULL
-        if not self._quotas_allow(state, proxies, quota_fraction):
+        if not self._quotas_allow(state, proxies, quota_fraction, messages):
             return Reservation.QUOTA_USED_UP
         return Reservation.GRANTED
 
@@ -209,8 +215,10 @@
             return False
         return self.queued_entries + cost <= QUEUE_THRESHOLD * limit
 
-    def _quotas_allow(self, state: PolicyState, proxies: Iterable[ProxyId], quota_fraction: float) -> bool:
-        """Return whether the quotas allow a message to each proxy that has none in this round yet.
+    def _quotas_allow(
+        self, state: PolicyState, proxies: Iterable[ProxyId], quota_fraction: float, messages: int
+    ) -> bool:
+        """Return whether the quotas allow a number of messages to each proxy, that of this round included.
 
         Also discards the send times that are older than the quota window.
         """
@@ -219,11 +227,11 @@
             return True
         limit = quota_fraction * settings.message_quota - 1  # one message of that part stays unused
         for name in proxies:
-            if name in self.reserved_entries:
+            if messages == 1 and name in self.reserved_entries:
                 continue
             times_ns = state.proxies[name].message_times_ns
             while times_ns and state.now_ns - times_ns[0] > settings.message_quota_window_ns:
                 times_ns.popleft()
-            if len(times_ns) + 1 > limit:
+            if len(times_ns) + messages > limit:
                 return False
         return True
--- a/swiftchute/policy/key_ranges.py
+++ b/swiftchute/policy/key_ranges.py
@@ -170,8 +170,11 @@
         key_range: KeyRange,
         kind: PushKind,
     ) -> Reservation:
-        """Clear the table of a key range and set up its fence."""
-        reservation = budget.reserve(state, state.proxies, 1, kind)
+        """Clear the table of a key range and set up its fence.
+
+        The message quotas must have room for the message that names the next owner, too.
+        """
+        reservation = budget.reserve(state, state.proxies, 1, kind, messages=2)
         if reservation is not Reservation.GRANTED:
             return reservation
         state.commands.clear_table(key_range.number)
--- a/tests/policy/test_key_range_owners.py
+++ b/tests/policy/test_key_range_owners.py
@@ -124,6 +124,23 @@
     assert 2.3 < 2.4 + seconds_until_assigned(cleared) <= 2.5 + 0.01  # 3.0 less the longest push delay
 
 
+def test_owner_is_not_taken_away_if_the_message_of_the_next_one_would_exceed_a_quota(make_harness):
+    """Guards against a key range without an owner until the quota of one proxy has room again."""
+    harness = make_harness(key_range_count=1, single_owner=True, message_quota=4)
+    records = [harness.endpoint(name) for name in ("e0", "e1")]
+    connect = ProxyConnected(0, "east", 10.0, True)
+    entries = [KeyRangeAssigned(1), KeyRangeEntryRestored(1, "e0", 1.0)]
+    harness.run_round(EndpointListUpdate(ListScope.CACHED, records), *entries, connect)
+    times_ns = harness.state.proxies[0].message_times_ns
+    drain = list_changes([harness.endpoint("e0", state="draining")])
+    times_ns.extend([harness.now + 2 * 10**9] * 2)  # one more fits, as one is kept in reserve
+    assert harness.run_round(drain, wait_s=2).of("clear_table") == []
+    times_ns.pop()
+    assert harness.run_round(wait_s=0.1).of("clear_table") == [(1,)]
+    assert harness.run_round(PushAcknowledged(0, 1, 0)).of("set_weight") == []
+    assert seconds_until_assigned(harness) == 0.02
+
+
 def test_owner_is_not_changed_while_the_channel_is_full(cleared):
     """Guards against more entries in the channel than its limit: key ranges were written without a budget."""
     cleared.run_round(PushAcknowledged(0, 1, 0), PushAcknowledged(1, 1, 0))
--- a/tests/support/key_range_fleet.py
+++ b/tests/support/key_range_fleet.py
@@ -50,6 +50,7 @@
         self.settings = {"key_range_count": ranges, "proxy_count": proxies, **settings}
         self.random, self.now_s, self.violations = random.Random(seed), 0.0, []
         self.states = {f"e{k}": "ready" for k in range(endpoints)}
+        self.message_times_s = {}
         self.changed_s, self.started_s, self.judged_from_s = {}, {}, {}
         self.store = {r: (0, {f"e{r % endpoints}"}) for r in range(ranges)}
         self.owned_since_s = dict.fromkeys(self.store, 0.0)
@@ -96,6 +97,7 @@
 
     def join(self, number):
         self.lose(number, notice=False)
+        self.message_times_s[number] = []  # quotas count from a proxy's joining
         proxy = self.proxies[number]
         proxy.session, proxy.read_s = (
             self.random.randrange(1, 2**40),
@@ -151,9 +153,18 @@
         if orders or nonce is not None:
             for number, proxy in self.proxies.items():
                 if number in self.harness.state.proxies:
+                    self._judge_quota(number)
                     epochs = {key_range: epoch for key_range, (epoch, _) in self.store.items()}
                     self.channel.append((number, proxy.session, orders, epochs, nonce, self.now_s))
 
+    def _judge_quota(self, number):
+        settings = self.harness.state.settings
+        window_s = settings.message_quota_window_ns / 1e9
+        times_s = [t for t in self.message_times_s.get(number, ()) if self.now_s - t <= window_s]
+        self.message_times_s[number] = [*times_s, self.now_s]
+        if settings.message_quota and len(times_s) + 1 > settings.message_quota:
+            self.violations.append((round(self.now_s, 2), "message quota", number))
+
     def _write(self, tables, verb, arguments, new_epoch):
         key_range, names = arguments[0], set(tables.get(arguments[0], (0, set()))[1])
         if verb == "clear_table":
