Lift the admission limit of key ranges also if one is assigned meanwhile

Callers would see: a fleet restarts as a whole and admission is limited. A key range is assigned in the round in which the endpoints are warm: the limit stays on all others for good. An assignment resets the levels of that key range, and the policy then took the limit of all for lifted. Change: what was published and whether a key range lacks it are two facts. Test: test_a_key_range_that_is_assigned_while_admission_is_limited_gets_the_limit fails without the change.

--- a/swiftchute/policy/key_ranges.py
+++ b/swiftchute/policy/key_ranges.py
@@ -35,6 +35,7 @@
         self._lease_ends_ns: dict[int, int] = {}  # of proxies that used a key range before it was assigned
         self._full_weight = 0.0  # listed weight of all ready endpoints of the largest fleet so far
         self._published_admission = 1.0
+        self._has_range_without_admission = False  # a key range was assigned since it was published
         self._is_settled = False  # nothing has changed or waits since the last decision
 
     def on_assigned(self, state: PolicyState, event: KeyRangeAssigned) -> None:
@@ -42,7 +43,7 @@
         self.on_revoked(KeyRangeRevoked(event.key_range))
         self._ranges[event.key_range] = KeyRange(event.key_range)
         self._lease_ends_ns[event.key_range] = lease_end_ns(state)
-        self._published_admission = 1.0  # of the new key range, whatever the others have
+        self._has_range_without_admission = True
 
     def on_revoked(self, event: KeyRangeRevoked) -> None:
         """Stop owning a key range, and forget its entries."""
@@ -215,13 +216,16 @@
         if state.settings.admission_mode == "none":
             return True
         rate, published = loads.admission_rate(), self._published_admission
-        if rate == published or (rate < 1 and abs(rate - published) < MIN_ADMISSION_CHANGE):
+        is_close = rate == published or (rate < 1 and abs(rate - published) < MIN_ADMISSION_CHANGE)
+        lacks_limit = rate < 1 and self._has_range_without_admission
+        if is_close and not lacks_limit:
             return True
-        kind = PushKind.URGENT if rate < published else PushKind.ORDINARY
+        kind = PushKind.URGENT if rate < published or lacks_limit else PushKind.ORDINARY
         if budget.reserve(state, state.proxies, 1, kind) is not Reservation.GRANTED:
             return False
         write_admission(state, None, rate, state.retry_policy)
         self._published_admission = rate
+        self._has_range_without_admission = False
         return True
 
 
--- a/tests/policy/test_key_range_load.py
+++ b/tests/policy/test_key_range_load.py
@@ -113,3 +113,13 @@
     fleet.run(3)
     assert key_ranges_by_endpoint(fleet) == {"n0": 12}
     assert [violation for violation in fleet.violations if violation[1] == "drain"] == []
+
+
+def test_a_key_range_that_is_assigned_while_admission_is_limited_gets_the_limit(make_harness):
+    """Guards against a limit that is lifted for nobody, or missing for a key range that came later."""
+    harness = make_harness(key_range_count=2)
+    cold = [harness.endpoint("e0", age_s=0.1), harness.endpoint("e1", age_s=0.1)]
+    harness.run_round(EndpointListUpdate(ListScope.CACHED, cold), KeyRangeAssigned(1))
+    assert harness.run_round(KeyRangeAssigned(2), wait_s=0.1).of("set_admission") == [(None, 0, 0.21, 1)]
+    commands = [harness.run_round(KeyRangeAssigned(1), wait_s=16.0), harness.run_round(wait_s=2)]
+    assert commands[0].of("set_admission") + commands[1].of("set_admission") == [(None, 0, 1.0, 1)]
