--- a/tests/ingress/test_turn_scheduler.py
+++ b/tests/ingress/test_turn_scheduler.py
@@ -209,3 +209,33 @@
         loop.turn()
     assert received == [FIRST_PIECE_BYTES]
     assert not connection.has_waiting_input
+
+
+class Waiter:
+    """A connection that notes when it runs, in a list that all share."""
+
+    def __init__(self, name, order, used_ns=0):
+        self.name, self.order, self.used_ns = name, order, used_ns
+
+    def run_slice(self):
+        self.order.append(self.name)
+
+
+def test_the_connection_with_the_least_to_process_comes_first_among_equals():
+    """Guards against a short message that waits for long ones which came just before it."""
+    loop, order = Loop(), []
+    loop.scheduler.enqueue(Waiter("long", order), 16_000)
+    loop.scheduler.enqueue(Waiter("short", order), 10)
+    loop.turn()
+    assert order == ["short", "long"]
+
+
+def test_a_newcomer_comes_before_all_that_have_used_more_time():
+    """Guards against newcomers that start above others, after one that has used a lot had little to do."""
+    loop, order = Loop(), []
+    loop.scheduler.enqueue(Waiter("served", order, used_ns=100_000_000), 1)
+    loop.turn()
+    loop.scheduler.enqueue(Waiter("other", order, used_ns=95_000_000), 16_000)
+    loop.scheduler.enqueue(Waiter("newcomer", order), 16_000)
+    loop.turn()
+    assert order == ["served", "newcomer", "other"]
--- a/tests/policy/test_key_range_load.py
+++ b/tests/policy/test_key_range_load.py
@@ -10,6 +10,7 @@
     KeyRangeAssigned,
     KeyRangeDemandReport,
     KeyRangeEntryRestored,
+    ProxyConnected,
 )
 from tests.support.key_range_fleet import KeyRangeFleet
 from tests.support.policy import list_changes
@@ -123,3 +124,45 @@
     assert harness.run_round(KeyRangeAssigned(2), wait_s=0.1).of("set_admission") == [(None, 0, 0.21, 1)]
     commands = [harness.run_round(KeyRangeAssigned(1), wait_s=16.0), harness.run_round(wait_s=2)]
     assert commands[0].of("set_admission") + commands[1].of("set_admission") == [(None, 0, 1.0, 1)]
+
+
+def test_a_warming_endpoint_is_not_pushed_over_for_a_warm_one_that_has_more_than_its_share(measured):
+    """Guards against a choice by the load alone, where the warm endpoints are short of capacity."""
+    harness = measured()
+    changes = [harness.endpoint("e2", age_s=2), harness.endpoint("e0", state="draining")]
+    weights = harness.run_round(list_changes(changes)).of("set_weight")
+    assert {name for _, name, weight in weights if weight} == {"e1"}
+
+
+def test_warming_endpoints_share_the_load_evenly_if_none_is_warm(measured):
+    """Guards against one of them that keeps what it served before it restarted."""
+    harness = measured()
+    harness.run_round(list_changes([harness.endpoint("e0", state="gone")]))  # e1 serves all
+    cold = [harness.endpoint("e1", age_s=0.1), harness.endpoint("e2", age_s=0.1)]
+    weights = harness.run_round(list_changes(cold)).of("set_weight")
+    assert sorted(weight for _, name, weight in weights if name == "e2") == [1, 1]
+
+
+def test_the_limit_of_a_warming_endpoint_does_not_grow_when_others_leave(make_harness):
+    """Guards against a fleet that shrinks: each endpoint's share is larger, its capacity is not."""
+    harness = make_harness(key_range_count=4)
+    names = ("e0", "e1", "e2", "e3")
+    events = [EndpointListUpdate(ListScope.CACHED, [harness.endpoint(name) for name in names])]
+    for number, name in enumerate(names):
+        events += [KeyRangeAssigned(number), KeyRangeEntryRestored(number, name, 1.0)]
+    harness.run_round(*events)
+    gone = [harness.endpoint(name, state="gone") for name in names[1:]]
+    changes = list_changes([*gone, harness.endpoint("e4", age_s=8)])  # at 0.6 of its capacity
+    assert {name for _, name, weight in harness.run_round(changes).of("set_weight") if weight} == {"e0"}
+
+
+def test_the_key_range_that_has_waited_longest_for_the_channel_comes_first(measured):
+    """Guards against key ranges of a low number that keep others waiting in a full channel."""
+    harness = measured()
+    harness.run_round(ProxyConnected(0, "east", 10.0, True))
+    harness.budget.unacknowledged_entries = 1800
+    harness.run_round(list_changes([harness.endpoint("e2"), harness.endpoint("e0", state="draining")]))
+    harness.run_round(list_changes([harness.endpoint("e1", state="draining")]), wait_s=0.1)
+    harness.budget.unacknowledged_entries = 1800 - 8  # room for one message with two entries
+    weights = harness.run_round(wait_s=0.1).of("set_weight")
+    assert weights == [(2, "e2", 1), (2, "e0", 0)]
