Proxy: reject a listener whose connection manager cannot be read

Callers would see: after such a listener every response fails, also sound ones, until the listener is replaced. Cause: it was applied, and the names of its routes are read again with each response. Change: it is read before anything is applied and rejected like any other resource. Test: fails without the change with a DecodeError in the answer to the listener.

--- a/swiftchute/proxy/xds_client.py
+++ b/swiftchute/proxy/xds_client.py
@@ -230,6 +230,8 @@
             packed = item.resource if self.delta else item
             try:
                 message = _MESSAGE_TYPES[type_url].FromString(packed.value)
+                if type_url == names.LDS:
+                    HttpConnectionManager.FromString(message.api_listener.api_listener.value)
             except DecodeError as decode_error:
                 return resources, str(decode_error)
             name = item.name if self.delta else _resource_name(type_url, message)
--- a/tests/proxy/test_control_client.py
+++ b/tests/proxy/test_control_client.py
@@ -8,7 +8,8 @@
 
 import pytest
 import uvloop
-from envoy.service.discovery.v3.discovery_pb2 import DeltaDiscoveryResponse
+from envoy.config.listener.v3.listener_pb2 import Listener
+from envoy.service.discovery.v3.discovery_pb2 import DeltaDiscoveryRequest, DeltaDiscoveryResponse
 from grpclib.const import Cardinality, Handler
 from grpclib.server import Server
 
@@ -194,3 +195,16 @@
     server = PingServer()
     assert uvloop.run(connect_client(server, 3)) < MAX_PAUSE_S
     assert server.sent_bytes > 1 << 20
+
+
+def test_a_listener_with_an_unsound_connection_manager_is_rejected():
+    """Guards against a listener that makes every later response fail, as its routes cannot be read."""
+    client = XdsClient("gw", "z", 1.0)
+    client.open_stream(fresh=True)
+    unsound = DeltaDiscoveryResponse(type_url=names.LDS, nonce="a-1")
+    listener = Listener(name="read")
+    listener.api_listener.api_listener.value = b"\xff\xff"
+    unsound.resources.add(name="read").resource.value = listener.SerializeToString()
+    answer = DeltaDiscoveryRequest.FromString(client.receive(unsound.SerializeToString())[0])
+    assert answer.error_detail.message
+    assert client.receive(response(names.CDS, "a-2"))
