Platform: a small or missing memory limit does not fail the start

Below 16, or null, the start failed, where it had worked before. Change: null is the default; a small limit leaves room for the unfinished messages of two clients. What is not a number from 0 to 10^9 is a plain error; a whole number too large for a float ended in a traceback.

--- a/swiftchute/platform/connection_limits.py
+++ b/swiftchute/platform/connection_limits.py
@@ -13,12 +13,13 @@
 MAX_UNSENT_BYTES = 256 * 1024  # buffered in this process for a client; above it the connection is aborted
 CLOSE_TIMEOUT_S = 3.0  # for a client to read its last message
 STOP_TIMEOUT_S = 0.3  # the same at shutdown; the platform sends SIGKILL 0.7 s after SIGTERM or later
+MIN_UNFINISHED_BYTES = 2 << 20  # one message of the largest size has room, whatever the memory limit
 UNFINISHED_MEMORY_FRACTION = 0.125  # of the memory limit, for unfinished messages of all clients together
 
 
 def max_unfinished_bytes(max_memory_mb: float) -> int:
     """Return the bytes of unfinished messages that all clients together may leave, from the memory limit."""
-    return int(UNFINISHED_MEMORY_FRACTION * max_memory_mb * 2**20)
+    return max(int(UNFINISHED_MEMORY_FRACTION * max_memory_mb * 2**20), MIN_UNFINISHED_BYTES)
 
 
 def usable_sockets(configured: int, system_limit: int | None) -> int:
--- a/swiftchute/platform/settings.py
+++ b/swiftchute/platform/settings.py
@@ -16,8 +16,7 @@
 
 MAX_FILE_BYTES = 16 << 20
 MIN_SOCKETS = 64
-DEFAULT_MEMORY_MB = 192
-MIN_MEMORY_MB = 16
+DEFAULT_MEMORY_MB, MAX_MEMORY_MB = 192, 10**9
 DEFAULT_SOCKETS = 1024
 MAX_SHOWN_CHARACTERS = 64  # limit for a value in an error text
 MAX_CAUSE_CHARACTERS = 200  # limit for the JSON decoder's message in an error text
@@ -102,9 +101,6 @@
     max_sockets = _field(path, limits, "sockets", int, DEFAULT_SOCKETS, "limits.")
     if max_sockets < MIN_SOCKETS:
         raise SettingsError(f"{path}: limits.sockets: {max_sockets} is less than {MIN_SOCKETS}")
-    max_memory_mb = _field(path, limits, "memory_mb", int | float, DEFAULT_MEMORY_MB, "limits.")
-    if max_memory_mb < MIN_MEMORY_MB:
-        raise SettingsError(f"{path}: limits.memory_mb: {max_memory_mb} is less than {MIN_MEMORY_MB}")
     known = data.get("known")
     return Configuration(
         seed=_seed(path, data.get("seed", "0")),
@@ -112,12 +108,23 @@
         listen=_address(path, data, "listen"),
         discovery=_address(path, data, "discovery"),
         max_sockets=max_sockets,
-        max_memory_mb=max_memory_mb,
+        max_memory_mb=_max_memory_mb(path, limits),
         known_list=None if known is None else json.dumps(known).encode(),
         settings=settings_schema.read_settings(path, _field(path, data, "settings", dict)),
     )
 
 
+def _max_memory_mb(path: str, limits: dict[str, Any]) -> float:
+    """Return the memory limit in MB; the default if there is none."""
+    value = limits.get("memory_mb")
+    if value is None:
+        return DEFAULT_MEMORY_MB
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value <= MAX_MEMORY_MB:
+        shown = str(value)[:MAX_SHOWN_CHARACTERS]
+        raise SettingsError(f"{path}: limits.memory_mb: {shown!r} is not a number from 0 to {MAX_MEMORY_MB}")
+    return value
+
+
 def _seed(path: str, value: Any) -> int:
     """Convert the seed, which is a number or a string of hexadecimal digits."""
     try:
@@ -127,16 +134,14 @@
 
 
 def _field(
-    path: str, data: dict[str, Any], name: str, kind: Any, default: Any = None, parent: str = ""
+    path: str, data: dict[str, Any], name: str, kind: type, default: Any = None, parent: str = ""
 ) -> Any:
     value = data.get(name, default)
     if value is None:
         raise SettingsError(f"{path}: {parent}{name}: missing")
     if not isinstance(value, kind) or isinstance(value, bool):
         shown = str(value)[:MAX_SHOWN_CHARACTERS]
-        raise SettingsError(
-            f"{path}: {parent}{name}: {shown!r} is not of type {getattr(kind, '__name__', kind)}"
-        )
+        raise SettingsError(f"{path}: {parent}{name}: {shown!r} is not of type {kind.__name__}")
     return value
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -9,9 +9,11 @@
 
 from swiftchute.controller.policy_runner import PolicyRunner
 from swiftchute.platform import settings as module
+from swiftchute.platform.connection_limits import max_unfinished_bytes
 from swiftchute.platform.endpoint_list import EndpointList
 from swiftchute.platform.errors import SettingsError
 from swiftchute.platform.session_manager import SessionManager
+from swiftchute.platform.wire_messages import MAX_MESSAGE_BYTES
 from swiftchute.policy import Reconciler
 from swiftchute.policy.units import NS_PER_S as S
 from tests.support.platform import MEMBERS, wire_settings
@@ -171,6 +173,10 @@
     ({"listen": "127.0.0.1:" + "9" * 5000}, "listen: "), ({"discovery": "127.0.0.1:0"}, "discovery: "),
     ({"discovery": "127.0.0.1:٨٠"}, "discovery: "), ({"limits": {"sockets": True}}, "limits.sockets: "),
     ({"name": "\ud800"}, "not JSON: "), ({"limits": {"sockets": 63}}, "limits.sockets: 63 is less than 64"),
+    ({"limits": {"memory_mb": "64"}}, "limits.memory_mb: '64' is not a number"),
+    ({"limits": {"memory_mb": -1}}, "limits.memory_mb: "),
+    ({"limits": {"memory_mb": True}}, "limits.memory_mb: "),
+    ({"limits": {"memory_mb": 10**400}}, "limits.memory_mb: "),
 ])  # fmt: skip
 def test_invalid_fields_outside_the_settings_are_named(tmp_path_factory, change, cause):
     with pytest.raises(SettingsError) as refused:
@@ -246,3 +252,11 @@
     assert [run.written for run in runs] == alone
     assert alone[0] != alone[1]
     assert all(len(written) > 40 for written in alone)
+
+
+@pytest.mark.parametrize("limits", [{}, {"memory_mb": None}, {"memory_mb": 8}, {"memory_mb": 2048.5}])
+def test_any_memory_limit_leaves_room_for_one_message(tmp_path_factory, limits):
+    """Guards against a start that fails, or a client that cannot send, under a small or missing limit."""
+    data = configuration(wire_settings()) | {"limits": limits}
+    _, configured = read(tmp_path_factory, data)
+    assert max_unfinished_bytes(configured.max_memory_mb) >= 2 * MAX_MESSAGE_BYTES
