tests: blocks of settings files and threads that accept connections stand once

Cause: the new support modules repeated settings of two tests, and two servers the same loop. The settings that the tests use are as before.

--- a/benchmarks/hostile_clients.py
+++ b/benchmarks/hostile_clients.py
@@ -37,45 +37,36 @@
     peak_memory_mb,
 )
 from tests.support.platform import free_port, wire_configuration, wire_settings  # noqa: E402
-from tests.support.processes import Process, start_proxy, start_serve  # noqa: E402
+from tests.support.processes import Process, ThreadedServer, start_proxy, start_serve  # noqa: E402
 
 FLOOD_S, HOLD_S = 5.0, 8.0
 MIB = 1 << 20
 PROXIES = 400
 
 
-class FakeDiscovery(threading.Thread):
+class FakeDiscovery(ThreadedServer):
     """Answers a watch with a block again and again at full speed; with None it only answers the head."""
 
     def __init__(self, block=None, head=b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"):
-        super().__init__(daemon=True)
-        self.block, self.head, self.sent = block, head, 0
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "{}:{}".format(*self.listener.getsockname())
+        super().__init__()
+        self.block, self.head = block, head
         self.start()
 
-    def run(self):
+    def serve_connection(self, connection):
+        connection.recv(1 << 16)
+        connection.sendall(self.head + b"1\r\n\n\r\n")
         while True:
-            connection, _ = self.listener.accept()
-            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
-
-    def _serve(self, connection):
-        with contextlib.suppress(OSError):
-            connection.recv(1 << 16)
-            connection.sendall(self.head + b"1\r\n\n\r\n")
-            while True:
-                if self.block is None:
-                    connection.sendall(b"1\r\n\n\r\n")
-                    time.sleep(1)
-                else:
-                    connection.sendall(self.block)
-                    self.sent += len(self.block)
+            if self.block is None:
+                connection.sendall(b"1\r\n\n\r\n")
+                time.sleep(1)
+            else:
+                connection.sendall(self.block)
 
 
 def start_platform(directory, discovery):
     port = free_port()
     configuration = wire_configuration(
-        port, discovery.address, settings=wire_settings(PROXIES),
+        port, "{}:{}".format(*discovery.address), settings=wire_settings(PROXIES),
         limits={"cores": 1.0, "memory_mb": 192, "sockets": 1024},
     )  # fmt: skip
     file = Path(directory, "config.json")
--- a/tests/daemon/test_hostile_clients.py
+++ b/tests/daemon/test_hostile_clients.py
@@ -43,9 +43,7 @@
     process, addresses = served
     bystander = Bystander(AdsPing(addresses["xds"]))
     clients = HalfWritten(addresses["xds"], [ads_half(number) for number in range(300)])
-    for _ in range(16):
-        clients.send(0.5)
-        bystander.watch(0.01)
+    clients.send_beside(bystander, 16)
     assert peak_memory_mb(process) < MAX_MEMORY_MB
     assert bystander.failures == []
     assert max(bystander.latencies_s) < MAX_WAIT_S
--- a/tests/dns/test_server.py
+++ b/tests/dns/test_server.py
@@ -21,10 +21,12 @@
 from swiftchute.fakes.resolver import CachingResolver, SrvPicker, SrvRecord
 from swiftchute.observability.logging import configure_logging
 from swiftchute.policy import Reconciler
+from tests.support.hcl import RULES_AND_CHANNEL
 
 ORIGIN = "lots.example."
 SRV = "_lot-estimate._tcp.lots.example."
-SETTINGS = """
+SETTINGS = (
+    """
 service {{
   zones = ["north", "south"]
   zone = "north"
@@ -38,20 +40,9 @@
   billed_value = 3
   repeats = "idempotent"
 }}
-rules {{
-  drain_grace = "3s"
-  start_capacity = 0.2
-  warm_within = "8s"
-  fall_multiple = 2.5
-  fall_span = "2s"
-  bare_limit = "3s"
-}}
-channel {{
-  pace = 10000
-  limit = 20000
-  message_lines = 6
-}}
-reports {{
+"""
+    + RULES_AND_CHANNEL
+    + """reports {{
   lines = 200
 }}
 list "file" {{
@@ -73,6 +64,7 @@
   {more}
 }}
 """
+)
 
 
 class RunningService:
--- a/tests/proxy/test_control_client.py
+++ b/tests/proxy/test_control_client.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 import threading
 import time
 
@@ -19,6 +18,7 @@
 from swiftchute.xds.grpc_transport import RawCodec
 from swiftchute.xds.server import ADS, LRS
 from tests.support.hostile_bytes import frame
+from tests.support.processes import ThreadedServer
 
 MAX_PAUSE_S = 0.5  # of the event loop, in which a proxy serves nobody
 
@@ -77,42 +77,28 @@
         self.join(10)
 
 
-class PingServer(threading.Thread):
-    """Accepts connections and sends HTTP/2 pings at full speed."""
+class PingServer(ThreadedServer):
+    """Sends HTTP/2 pings at full speed on each connection."""
 
-    def __init__(self):
-        super().__init__(daemon=True)
-        self.listener, self.ready, self.sent_bytes = (
-            socket.create_server(("127.0.0.1", 0)),
-            threading.Event(),
-            0,
-        )
-        self.address = self.listener.getsockname()
-        self.ready.set()
+    sent_bytes = 0
 
-    def run(self):
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self.listener.accept()
-                threading.Thread(target=self._discard, args=(connection,), daemon=True).start()
-                with contextlib.suppress(OSError):
-                    connection.sendall(frame(4, 0, 0, b""))
-                    while True:
-                        self.sent_bytes += connection.send(frame(6, 0, 0, bytes(8)) * 4000)
+    def serve_connection(self, connection):
+        threading.Thread(target=self._discard, args=(connection,), daemon=True).start()
+        connection.sendall(frame(4, 0, 0, b""))
+        while True:
+            self.sent_bytes += connection.send(frame(6, 0, 0, bytes(8)) * 4000)
 
     def _discard(self, connection):
         with contextlib.suppress(OSError):
             while connection.recv(1 << 16):
                 pass
 
-    def stop(self):
-        self.listener.close()
-
 
 async def connect_client(server, seconds):
     """Run a client for a while; return the longest pause of its event loop."""
     server.start()
-    assert server.ready.wait(10)
+    if isinstance(server, ControlPlaneThread):
+        assert server.ready.wait(10)
     client = ControlPlaneClient(XdsClient("gw", "z", 1.0), [server.address], 1, reconnect_delay_s=(0.05, 0.1))
     client.start()
     longest_s, previous_s, deadline_s = 0.0, time.monotonic(), time.monotonic() + seconds
--- a/tests/proxy/test_daemon.py
+++ b/tests/proxy/test_daemon.py
@@ -14,39 +14,12 @@
 from swiftchute.observability.logging import configure_logging
 from swiftchute.policy import Reconciler
 from swiftchute.xds.server import RawCodec
+from tests.support.hcl import ONE_ZONE
 from tests.support.proxy import call, run, start_backends
 
-CONTROL_PLANE = """
-service {{
-  zones = ["z"]
-  zone = "z"
-  proxies = 1
-  standing_lines = 6
-  seed = 7
-}}
-operation "read" {{
-  latency_objective = "1s"
-  integration_timeout = "2s"
-  billed_value = 1
-  repeats = "idempotent"
-}}
-rules {{
-  drain_grace = "3s"
-  start_capacity = 0.2
-  warm_within = "8s"
-  fall_multiple = 2.5
-  fall_span = "2s"
-  bare_limit = "3s"
-}}
-channel {{
-  pace = 10000
-  limit = 20000
-  message_lines = 6
-}}
-reports {{
-  period = "200ms"
-  lines = 200
-}}
+CONTROL_PLANE = (
+    ONE_ZONE
+    + """
 list "file" {{
   path = "{list}"
   every = "20ms"
@@ -55,6 +28,7 @@
   listen = "127.0.0.1:{port}"
 }}
 """
+)
 PROXY = """
 proxy {{
   name = "gw"
@@ -103,7 +77,7 @@
 
 def make_control_plane(folder):
     path = folder / "planner.hcl"
-    path.write_text(CONTROL_PLANE.format(list=folder / "list.json", port=0))
+    path.write_text(CONTROL_PLANE.format(proxies=1, list=folder / "list.json", port=0))
     return Service(load(str(path)), configure_logging("error"), Reconciler)
 
 
--- a/tests/proxy/test_hostile_callers.py
+++ b/tests/proxy/test_hostile_callers.py
@@ -43,9 +43,7 @@
     process, address, _ = proxy
     callers = HalfWritten(address, [HEAD + bytes(MIB - 1000)] * 400)
     bystander = Bystander(Caller(address))
-    for _ in range(12):
-        callers.send(0.5)
-        bystander.watch(0.05)
+    callers.send_beside(bystander, 12)
     assert peak_memory_mb(process) < MAX_MEMORY_MB
     assert bystander.failures == []
     assert max(bystander.latencies_s) < MAX_WAIT_S
--- a/tests/support/hostile_clients.py
+++ b/tests/support/hostile_clients.py
@@ -52,6 +52,12 @@
             for number, events in poll.poll(100):
                 self._serve(by_number[number], events)
 
+    def send_beside(self, bystander, turns):
+        """Send for half a second at a time, and let a bystander ask after each."""
+        for _ in range(turns):
+            self.send(0.5)
+            bystander.watch(0.05)
+
     def _serve(self, connection, events):
         try:
             if events & select.POLLIN:
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -12,6 +12,7 @@
 import time
 from pathlib import Path
 
+from tests.support.hcl import ONE_ZONE
 from tests.support.hostile_clients import connect
 from tests.support.platform import ROOT, free_port
 
@@ -44,37 +45,9 @@
         self.log.close()
 
 
-PLANNER = """
-service {{
-  zones = ["z"]
-  zone = "z"
-  proxies = 400
-  standing_lines = 6
-  seed = 7
-}}
-operation "read" {{
-  latency_objective = "1s"
-  integration_timeout = "2s"
-  billed_value = 1
-  repeats = "idempotent"
-}}
-rules {{
-  drain_grace = "3s"
-  start_capacity = 0.2
-  warm_within = "8s"
-  fall_multiple = 2.5
-  fall_span = "2s"
-  bare_limit = "3s"
-}}
-channel {{
-  pace = 10000
-  limit = 20000
-  message_lines = 6
-}}
-reports {{
-  period = "200ms"
-  lines = 200
-}}
+PLANNER = (
+    ONE_ZONE
+    + """
 list "file" {{
   path = "{list}"
 }}
@@ -89,6 +62,7 @@
   origin = "lots.example."
 }}
 """
+)
 PROXY = """
 proxy {{
   name = "gw"
@@ -109,44 +83,58 @@
     Path(paths["list"]).write_text(json.dumps([{"targets": ["127.0.0.1:9"], "labels": {"zone": "z"}}]))
     ports = {"xds": free_port(), "dns": free_port()}
     file = Path(directory, "planner.hcl")
-    file.write_text(PLANNER.format(**paths, **ports))
+    file.write_text(PLANNER.format(proxies=400, **paths, **ports))
     process = Process(["-m", "swiftchute", "serve", str(file)], ("127.0.0.1", ports["xds"]))
     return process, ports, paths
 
 
-class Backend(threading.Thread):
-    """An HTTP/1.1 server that answers each request with 200; `requests` holds their paths."""
-
-    body, delay_s = b"ok", 0.0
+class ThreadedServer(threading.Thread):
+    """A server that calls `serve_connection` for each connection, in a thread of its own."""
 
     def __init__(self):
         super().__init__(daemon=True)
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
-        self.port = self.listener.getsockname()[1]
-        self.requests = []
-        self.start()
+        self.address = self.listener.getsockname()
 
     def run(self):
-        while True:
-            connection, _ = self.listener.accept()
-            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+        with contextlib.suppress(OSError):  # the listener is closed
+            while True:
+                connection, _ = self.listener.accept()
+                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
 
     def _serve(self, connection):
-        data = b""
         with contextlib.suppress(OSError):
-            while received := connection.recv(1 << 16):
-                data += received
-                while b"\r\n\r\n" in data:
-                    head, data = data.split(b"\r\n\r\n", 1)
-                    self.requests.append(head.split(b" ")[1])
-                    time.sleep(self.delay_s)
-                    answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(self.body)
-                    connection.sendall(answer + self.body)
+            self.serve_connection(connection)
+
+    def stop(self):
+        self.listener.close()
+
+
+class Backend(ThreadedServer):
+    """An HTTP/1.1 server that answers each request with 200; `requests` holds their paths."""
+
+    body, delay_s = b"ok", 0.0
+
+    def __init__(self):
+        super().__init__()
+        self.requests = []
+        self.start()
+
+    def serve_connection(self, connection):
+        data = b""
+        while received := connection.recv(1 << 16):
+            data += received
+            while b"\r\n\r\n" in data:
+                head, data = data.split(b"\r\n\r\n", 1)
+                self.requests.append(head.split(b" ")[1])
+                time.sleep(self.delay_s)
+                answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(self.body)
+                connection.sendall(answer + self.body)
 
 
 def start_proxy(directory):
     backend = Backend()
-    ports = {"port": free_port(), "xds": free_port(), "backend": backend.port}
+    ports = {"port": free_port(), "xds": free_port(), "backend": backend.address[1]}
     file = Path(directory, "proxy.hcl")
     file.write_text(PROXY.format(**ports))
     process = Process(["-m", "swiftchute", "proxy", str(file)], ("127.0.0.1", ports["port"]))
