Policy: what a table admits is a typed value, no longer an entry of weights

Cause: the admission rate was an entry of the weights under an empty name, negative where proxies must not retry. Limits that differ by operation have no place in it. Change: EndpointTable holds its desired and its published Admission (limits by operation mask, and whether proxies may retry); the writing of limits stands in policy/admission.py. No behaviour changes. Tests that read the entry read the admission; each assertion is as strict as before, and the filters of the empty name are gone.

--- a/swiftchute/drill/faulty_policies.py
+++ b/swiftchute/drill/faulty_policies.py
@@ -166,10 +166,8 @@
         for tables in self.state.tables.values():
             for table in tables:
                 for index, (name, weight) in enumerate(sorted(table.published.items(), key=str)):
-                    if name:
-                        self.sink.set_weight(
-                            table.number, name, weight * (5 if (index + self.round_count) % 2 else 0.2)
-                        )
+                    factor = 5 if (index + self.round_count) % 2 else 0.2
+                    self.sink.set_weight(table.number, name, weight * factor)
 
 
 class NaNs(FaultyPolicy):
@@ -217,7 +215,7 @@
             self.applied = True
             for tables in self.state.tables.values():
                 for table in tables:
-                    for name in [name for name in table.published if name and self.is_favoured(name)]:
+                    for name in [name for name in table.published if self.is_favoured(name)]:
                         self.sink.set_weight(table.number, name, 500.0)
 
 
--- a/swiftchute/policy/assignment.py
+++ b/swiftchute/policy/assignment.py
@@ -41,7 +41,7 @@
     tables = state.tables[proxy.zone, subset]
     if not _are_usable(tables, migrating=proxy.subset is not None):
         return
-    entries = sum(1 + len(table.published) for table in tables)
+    entries = sum(1 + table.published_entry_count for table in tables)
     if budget.reserve(state, [name], entries, kind) is not Reservation.GRANTED:
         return
     for table in tables:
--- a/swiftchute/policy/desired_tables.py
+++ b/swiftchute/policy/desired_tables.py
@@ -1,14 +1,14 @@
 """Desired tables: computes the entries of each table from health, warm-up, spillover and admission."""
 
-from swiftchute.policy.model import ADMISSION_KEY, Endpoint, EndpointTable
+from swiftchute.policy.admission import admission_of, is_close
+from swiftchute.policy.model import Admission, Endpoint, EndpointTable
 from swiftchute.policy.publishing import is_urgent_drop
 from swiftchute.policy.slow_start import endpoint_weight, is_warming_up, limit_warming_endpoints
 from swiftchute.policy.state import PolicyState
 from swiftchute.policy.zone_spillover import MIN_SPILLOVER_FRACTION
 
 MIN_WEIGHT_CHANGE = 0.12  # smaller relative changes of a weight are ignored
-MIN_ADMISSION_CHANGE = 0.04  # the same for admission rates
-WEIGHT_DIGITS = 4  # decimal places of weights and admission rates
+WEIGHT_DIGITS = 4  # decimal places of weights
 MIN_WEIGHT = 0.0001  # replaces a weight that would be rounded to 0, as 0 removes the entry
 
 Entries = dict[str, float]
@@ -22,8 +22,8 @@
         entries = _local_entries(table, ready, weights)
         warming_only = all(is_warming_up(state, ready[name]) for name in entries)
         entries |= _remote_entries(state, table, ready, weights, warming_only)
-        _add_admission(state, table, entries)
-        _update_desired(state, table, entries)
+        admission = _limit_admission(state, table, entries)
+        _update_desired(state, table, entries, admission)
 
 
 def _local_entries(table: EndpointTable, ready: dict[str, Endpoint], weights: Entries) -> Entries:
@@ -89,35 +89,34 @@
     return own or fractions
 
 
-def _add_admission(state: PolicyState, table: EndpointTable, entries: Entries) -> None:
-    """Limit warming endpoints, and add the admission entry, which is negative if retries are disabled.
+def _limit_admission(state: PolicyState, table: EndpointTable, entries: Entries) -> Admission:
+    """Limit warming endpoints, and return what the table may admit.
 
     A table with warming endpoints allows no retries: requests that full endpoints reject would be retried at
     the warming ones.
     """
     rate = min(limit_warming_endpoints(state, table, entries), table.admission_rate)
-    may_retry = table.retry_policy and not any(
-        is_warming_up(state, state.endpoints[name]) for name in entries
-    )
-    entries[ADMISSION_KEY] = rate if may_retry else -rate
+    warming = any(is_warming_up(state, state.endpoints[name]) for name in entries)
+    return admission_of(rate, may_retry=bool(table.retry_policy) and not warming)
 
 
-def _update_desired(state: PolicyState, table: EndpointTable, entries: Entries) -> None:
+def _update_desired(state: PolicyState, table: EndpointTable, entries: Entries, admission: Admission) -> None:
     """Update desired entries that changed enough, and start or extend the table's debounce."""
-    before = table.desired
+    before, admission_before = table.desired, table.desired_admission
     table.desired = {name: weight for name, weight in before.items() if name in entries}
     # checks published entries, as one may already wait for its removal when its endpoint begins to drain
     urgent = any(not state.endpoints[name].is_ready for name in table.published.keys() - entries.keys())
-    urgent |= not table.has_endpoints and bool(entries.keys() - {ADMISSION_KEY})
+    urgent |= not table.has_endpoints and bool(entries)
     for name, weight in entries.items():
         old = table.desired.get(name)
-        min_change = MIN_ADMISSION_CHANGE if name == ADMISSION_KEY else MIN_WEIGHT_CHANGE
-        if old is None or abs(weight - old) > min_change * abs(old):
+        if old is None or abs(weight - old) > MIN_WEIGHT_CHANGE * old:
             urgent |= is_urgent_drop(name, weight, table.published)
             table.desired[name] = round(weight, WEIGHT_DIGITS) or MIN_WEIGHT
+    if admission_before is None or not is_close(admission, admission_before):
+        table.desired_admission = admission
     if urgent and table.urgent_since_ns is None:
         table.urgent_since_ns = state.now_ns
-    if table.desired != before:
+    if table.desired != before or table.desired_admission != admission_before:
         if table.first_change_ns is None:
             table.first_change_ns = state.now_ns
         table.last_change_ns = state.now_ns
--- a/swiftchute/policy/key_ranges.py
+++ b/swiftchute/policy/key_ranges.py
@@ -12,12 +12,11 @@
     KeyRangeRevoked,
     ProxyId,
 )
+from swiftchute.policy.admission import MIN_ADMISSION_CHANGE, admission_of, write_admission
 from swiftchute.policy.channel_turns import PushKind
-from swiftchute.policy.desired_tables import MIN_ADMISSION_CHANGE
 from swiftchute.policy.egress_budget import EgressBudget, Reservation
 from swiftchute.policy.key_range_load import KeyRange, KeyRangeLoads
 from swiftchute.policy.ownership_fence import LeaseClock, OwnershipFence, lease_end_ns
-from swiftchute.policy.publishing import write_admission
 from swiftchute.policy.state import PolicyState
 
 ENTRY_WEIGHT = 1  # of an endpoint that is newly assigned to a key range
@@ -223,7 +222,7 @@
         kind = PushKind.URGENT if rate < published or lacks_limit else PushKind.ORDINARY
         if budget.reserve(state, state.proxies, 1, kind) is not Reservation.GRANTED:
             return False
-        write_admission(state, None, rate, state.retry_policy)
+        write_admission(state, None, admission_of(rate, may_retry=True))
         self._published_admission = rate
         self._has_range_without_admission = False
         return True
--- a/swiftchute/policy/model.py
+++ b/swiftchute/policy/model.py
@@ -8,7 +8,7 @@
 MAX_LOAD_SAMPLES = 10  # load reports kept per endpoint
 MAX_DEMAND_SAMPLES = 4  # demand reports kept per proxy and operation
 REPORT_LAG_EVALUATIONS = 4  # load reports describe the state of this many evaluations ago
-ADMISSION_KEY = ""  # key of the admission rate among a table's entries; no endpoint has this name
+ALL_OPERATIONS = 0  # operation mask of commands that concern all operations of a table
 
 SubsetKey = tuple[str, int]  # zone, index of the subset in it
 ZonePairKey = tuple[str, str]  # zone of the proxies, zone of the endpoints
@@ -39,6 +39,20 @@
     request_rate: float
 
 
+class OperationLimit(NamedTuple):
+    """Limit of what a table admits of some operations."""
+
+    operation_mask: int
+    value: float  # share of the requests, or requests per second at each proxy, see `Settings.admission_mode`
+
+
+class Admission(NamedTuple):
+    """What a table admits, and whether its proxies may retry."""
+
+    limits: tuple[OperationLimit, ...]
+    may_retry: bool
+
+
 class Endpoint:
     """An endpoint of the list with its latest load reports.
 
@@ -123,8 +137,7 @@
 class EndpointTable:
     """A table of a subset, for either the operations that may cross zones or the zone-local ones.
 
-    Entries map endpoints to weights. The entry of `ADMISSION_KEY` holds the admission rate, which is negative
-    if proxies must not retry.
+    Entries map endpoints to weights.
 
     Attributes:
         number: Number of the table in commands.
@@ -134,6 +147,8 @@
         operation_mask: Operations that it serves.
         desired: Entries that the rules currently call for.
         published: Entries that were last pushed.
+        desired_admission: Admission that the rules currently call for, None before the first evaluation.
+        published_admission: Admission that was last pushed, None before the first push.
         first_change_ns: Time of the first change of `desired` since the last push, None without a change.
         last_change_ns: Time of the last change of `desired`.
         urgent_since_ns: Time of the first unpublished change that must not wait for the debounce, or None.
@@ -147,11 +162,13 @@
         "admission_history",
         "admission_rate",
         "desired",
+        "desired_admission",
         "first_change_ns",
         "last_change_ns",
         "number",
         "operation_mask",
         "published",
+        "published_admission",
         "pushed_at_ns",
         "retry_policy",
         "subset",
@@ -170,6 +187,8 @@
         self.operation_mask = operation_mask
         self.desired: dict[str, float] = {}
         self.published: dict[str, float] = {}
+        self.desired_admission: Admission | None = None
+        self.published_admission: Admission | None = None
         self.first_change_ns: int | None = None
         self.last_change_ns = 0
         self.urgent_since_ns: int | None = None
@@ -181,7 +200,12 @@
     @property
     def has_endpoints(self) -> bool:
         """Whether the published table has an entry of an endpoint."""
-        return bool(self.published.keys() - {ADMISSION_KEY})
+        return bool(self.published)
+
+    @property
+    def published_entry_count(self) -> int:
+        """Number of entries that a proxy is sent which is assigned to the table."""
+        return len(self.published) + (len(self.published_admission.limits) if self.published_admission else 0)
 
 
 class ZonePair:
--- a/swiftchute/policy/publishing.py
+++ b/swiftchute/policy/publishing.py
@@ -3,10 +3,11 @@
 from typing import NamedTuple
 
 from swiftchute.api.events import ProxyId
+from swiftchute.policy.admission import write_admission
 from swiftchute.policy.channel_turns import PushKind
 from swiftchute.policy.conditions import report_condition
 from swiftchute.policy.egress_budget import EgressBudget, Reservation
-from swiftchute.policy.model import ADMISSION_KEY, EndpointTable
+from swiftchute.policy.model import Admission, EndpointTable
 from swiftchute.policy.state import PolicyState
 from swiftchute.policy.units import NS_PER_MS, NS_PER_S
 
@@ -15,11 +16,22 @@
 MIN_PUSH_INTERVAL_NS = 1 * NS_PER_S  # between ordinary pushes of a table; urgent entries ignore it
 URGENT_DROP_FRACTION = 0.5  # a weight below this fraction of the published one is urgent
 LATE_PUSH_NS = 1 * NS_PER_S  # an urgent change that waits longer is reported to the operators
-UNLIMITED_REQUEST_RATE = 1e6  # per second; admits all requests if admission is by rate
 
 Entries = dict[str, float]
 
 
+class _TableChanges(NamedTuple):
+    """What differs between the desired and the published table; a weight of 0 is a removal."""
+
+    entries: Entries
+    admission: Admission | None  # None if it is unchanged
+
+    @property
+    def entry_count(self) -> int:
+        """Number of entries that the changes take up in a message."""
+        return len(self.entries) + (len(self.admission.limits) if self.admission else 0)
+
+
 class _ChangedSubset(NamedTuple):
     """The changed tables of a subset, and the proxies that use them: one message carries all changes."""
 
@@ -92,7 +104,7 @@
 
 def is_urgent_drop(name: str, weight: float, published: Entries) -> bool:
     """Return whether a weight is so far below the published one that it must be pushed at once."""
-    return name != ADMISSION_KEY and weight < URGENT_DROP_FRACTION * published.get(name, 0)
+    return weight < URGENT_DROP_FRACTION * published.get(name, 0)
 
 
 def _any_due(state: PolicyState, tables: list[EndpointTable]) -> bool:
@@ -111,64 +123,60 @@
 def _push_urgent(state: PolicyState, budget: EgressBudget, subset: _ChangedSubset) -> Reservation:
     """Push the urgent entries of a subset's tables without waiting for the debounce."""
     changes = [_urgent_changes(table) for table in subset.tables]
-    count = sum(map(len, changes))
+    count = sum(each.entry_count for each in changes)
     if count and subset.proxies:
         reservation = budget.reserve(state, subset.proxies, count, PushKind.URGENT)
         if reservation is not Reservation.GRANTED:
             return reservation
-    for table, entries in zip(subset.tables, changes, strict=True):
-        _write_changes(state, table, entries)
+    for table, each in zip(subset.tables, changes, strict=True):
+        _write_changes(state, table, each)
     return Reservation.GRANTED
 
 
 def _push_all(state: PolicyState, budget: EgressBudget, subset: _ChangedSubset) -> None:
     """Push all changed entries of a subset's tables and end their debounce."""
     changes = [_changes(table) for table in subset.tables]
-    count = sum(map(len, changes))
+    count = sum(each.entry_count for each in changes)
     if count:
         reservation = budget.reserve(state, subset.proxies, count, PushKind.ORDINARY)
         if reservation is not Reservation.GRANTED:
             return
-    for table, entries in zip(subset.tables, changes, strict=True):
-        _write_changes(state, table, entries)
+    for table, each in zip(subset.tables, changes, strict=True):
+        _write_changes(state, table, each)
         table.first_change_ns = None
         table.pushed_at_ns = state.now_ns
 
 
-def _changes(table: EndpointTable) -> Entries:
-    """Return the entries that differ between desired and published table; a weight of 0 is a removal."""
+def _changes(table: EndpointTable) -> _TableChanges:
+    """Return all differences between the desired and the published table."""
     desired, published = table.desired, table.published
-    return {
+    entries = {
         name: desired.get(name, 0)
         for name in sorted(published.keys() | desired.keys())
         if desired.get(name) != published.get(name)
     }
+    changed = table.desired_admission != table.published_admission
+    return _TableChanges(entries, table.desired_admission if changed else None)
 
 
-def _urgent_changes(table: EndpointTable) -> Entries:
+def _urgent_changes(table: EndpointTable) -> _TableChanges:
     """Return the urgent changes, or all changes if no published endpoint remains in the desired table."""
     changes = _changes(table)
-    if not any(table.desired.get(name) for name in table.published.keys() - {ADMISSION_KEY}):
+    if not any(table.desired.get(name) for name in table.published):
         return changes
-    return {name: weight for name, weight in changes.items() if is_urgent_drop(name, weight, table.published)}
-
-
-def _write_changes(state: PolicyState, table: EndpointTable, entries: Entries) -> None:
-    """Write changed entries, removals last so that the table is never empty in between.
-
-    A negative entry of the admission rate disables retries.
-    """
-    for name, weight in sorted(entries.items(), key=lambda entry: entry[1] == 0):
-        if name == ADMISSION_KEY:
-            write_admission(state, table.number, abs(weight), state.retry_policy if weight > 0 else 0)
-        else:
-            state.commands.set_weight(table.number, name, weight)
-    merged = table.published | entries
+    entries = changes.entries.items()
+    return _TableChanges(
+        {n: weight for n, weight in entries if is_urgent_drop(n, weight, table.published)}, None
+    )
+
+
+def _write_changes(state: PolicyState, table: EndpointTable, changes: _TableChanges) -> None:
+    """Write changes, the admission first, and removals last so that the table is never empty in between."""
+    if changes.admission is not None:
+        write_admission(state, table.number, changes.admission)
+        table.published_admission = changes.admission
+    for name, weight in sorted(changes.entries.items(), key=lambda entry: entry[1] == 0):
+        state.commands.set_weight(table.number, name, weight)
+    merged = table.published | changes.entries
     table.published = {name: weight for name, weight in merged.items() if weight}
     table.urgent_since_ns = None
-
-
-def write_admission(state: PolicyState, table: int | None, share: float, retry_policy: int) -> None:
-    """Write the share of requests to admit and the retry policy of a table, or of all tables (None)."""
-    rate = share if state.settings.admission_mode == "share" else UNLIMITED_REQUEST_RATE
-    state.commands.set_admission(table, 0, rate, retry_policy)
--- a/tests/policy/test_desired_tables.py
+++ b/tests/policy/test_desired_tables.py
@@ -1,6 +1,5 @@
 """Table entries for endpoints of other zones."""
 
-from swiftchute.policy.model import ADMISSION_KEY
 from tests.support.policy import CALM, list_changes, weights_in
 from tests.support.settings import operation
 
@@ -17,20 +16,18 @@
     harness = make_harness(subset_size=2)
     harness.start(east=8, west=8)
     harness.run_round(list_changes([harness.endpoint(f"e{k}", state="gone") for k in range(8)]))
-    remote = [
-        table.desired.keys() - {ADMISSION_KEY} for table in harness.state.all_tables() if table.zone == "east"
-    ]
+    remote = [set(table.desired) for table in harness.state.all_tables() if table.zone == "east"]
     assert [len(entries) for entries in remote] == [2, 2, 2, 2]
     assert len(set.union(*remote)) == 8
     remaining = {next(iter(remote[0]))}
     gone = [harness.endpoint(f"w{k}", "west", "gone") for k in range(8) if f"w{k}" not in remaining]
     harness.run_round(list_changes(gone))
-    assert all(table.desired.keys() - {ADMISSION_KEY} == remaining for table in harness.state.all_tables())
+    assert all(table.desired.keys() == remaining for table in harness.state.all_tables())
 
 
 def test_zone_local_operation_gets_no_remote_entry(make_harness):
     harness = make_harness(operations=(operation("read"), operation("write", zone_local=True)))
     harness.start()
     harness.run(8, dict.fromkeys(CALM, (20, 0, 0.9)))
-    assert any(name[0] == "w" for name in harness.table().desired if name)
-    assert not any(name[0] == "w" for name in harness.table(zone_local=True).desired if name)
+    assert any(name[0] == "w" for name in harness.table().desired)
+    assert not any(name[0] == "w" for name in harness.table(zone_local=True).desired)
--- a/tests/policy/test_endpoint_list.py
+++ b/tests/policy/test_endpoint_list.py
@@ -2,7 +2,6 @@
 
 from swiftchute.api.endpoints import ListScope
 from swiftchute.api.events import EndpointListUpdate
-from swiftchute.policy.model import ADMISSION_KEY
 from swiftchute.policy.units import NS_PER_S
 from tests.support.policy import CALM, list_changes
 
@@ -17,7 +16,7 @@
     )
     harness.run_round(list_changes([harness.endpoint("e1", state="draining")]))
     harness.run(3, CALM | {"e0": (9, 9, 0)})
-    assert harness.table().desired.keys() - {ADMISSION_KEY} == {"e2", "e3"}
+    assert harness.table().desired.keys() == {"e2", "e3"}
 
 
 def test_restart_resets_health_weight_and_load_samples(started):
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from swiftchute.policy.admission import admission_of
 from swiftchute.policy.load_stats import request_rate
-from swiftchute.policy.model import ADMISSION_KEY
 from swiftchute.policy.slow_start import limit_warming_endpoints, max_request_rate
 from tests.support.policy import CALM, list_changes
 
@@ -26,7 +26,7 @@
     started.run(6, CALM, requests=40)
     records = [started.endpoint(f"e{k}", age_s=0) for k in range(1, 4)]
     started.run_round(list_changes(records), wait_s=1.1)
-    desired = {n: w for n, w in started.table().desired.items() if n != ADMISSION_KEY}
+    desired = started.table().desired
     rate = request_rate(started.state.proxies[0])
     endpoint = started.state.endpoints["e1"]
     assert rate * desired["e1"] / sum(desired.values()) <= max_request_rate(started.state, endpoint) * 1.01
@@ -41,7 +41,8 @@
         list_changes([harness.endpoint(f"e{k}", age_s=0) for k in range(4)]),
         wait_s=1.1,
     )
-    assert 0 < abs(harness.table().desired[ADMISSION_KEY]) < 0.5
+    (limit,) = harness.table().desired_admission.limits
+    assert 0 < limit.value < 0.5
 
 
 def test_overloaded_zone_excludes_warming_endpoints(started):
@@ -65,9 +66,9 @@
 
 def test_tables_with_warming_endpoints_allow_no_retries(started):
     started.run(5, CALM)
-    assert started.table().desired[ADMISSION_KEY] == 1.0
+    assert started.table().desired_admission == admission_of(1.0, may_retry=True)
     started.run_round(list_changes([started.endpoint("e9", age_s=0)]))
-    assert started.table().desired[ADMISSION_KEY] == -1.0
+    assert started.table().desired_admission == admission_of(1.0, may_retry=False)
 
 
 def test_warming_endpoint_is_limited_by_the_request_rate_of_its_own_subset(make_harness):
@@ -83,7 +84,7 @@
     subset_rate = sum(
         request_rate(proxy) for proxy in harness.state.proxies.values() if proxy.subset == table.subset
     )
-    share = table.desired["e9"] / sum(w for n, w in table.desired.items() if n != ADMISSION_KEY)
+    share = table.desired["e9"] / sum(table.desired.values())
     assert share * subset_rate == pytest.approx(
         min(max_request_rate(harness.state, endpoint), 0.3 * subset_rate), rel=0.3
     )
--- a/tests/policy/test_zone_spillover.py
+++ b/tests/policy/test_zone_spillover.py
@@ -2,15 +2,14 @@
 
 from swiftchute.api.endpoints import ListScope
 from swiftchute.api.events import EndpointListUpdate, EndpointLoadReport, ProxyConnected
-from swiftchute.policy.model import ADMISSION_KEY
 from swiftchute.policy.units import NS_PER_S
 from tests.support.policy import CALM
 
 
 def test_loaded_zone_spills_over_and_calm_one_does_not(started):
     started.run(8, CALM | {f"e{k}": (20, 0, 0.4) for k in range(4)})
-    assert any(name[0] == "w" for name in started.table().desired if name)
-    assert not any(name[0] == "e" for name in started.table("west").desired if name)
+    assert any(name[0] == "w" for name in started.table().desired)
+    assert not any(name[0] == "e" for name in started.table("west").desired)
 
 
 def test_slow_network_to_a_zone_suspends_spillover_and_does_not_count_as_load(make_harness):
@@ -30,7 +29,7 @@
             for k in range(4)
         ]
         harness.run_round(*local, *remote, wait_s=0.5)
-    desired = harness.table().desired
-    assert {name[0] for name in desired if name} == {"e", "s"}
-    assert abs(desired[ADMISSION_KEY]) == 1.0
+    table = harness.table()
+    assert {name[0] for name in table.desired} == {"e", "s"}
+    assert [limit.value for limit in table.desired_admission.limits] == [1.0]
     assert harness.state.endpoints["w0"].health_weight > 0.6
