Limit what proxies admit for warming endpoints also where limits are rates

Cause: the share that warming endpoints can serve was worked out; where limits are rates, write_admission wrote 1e6 in its place. Change: policy/admission.py turns a share into a rate for each operation, from the demand of each proxy. A table without a warm endpoint is limited from the moment it has none, and warming endpoints wait until reports show that proxies have admitted their first requests under the limit. A limit that rises does so only if a first request of each proxy does no harm. A table that is emptied of ready endpoints is pushed as urgent.

--- a/swiftchute/policy/assignment.py
+++ b/swiftchute/policy/assignment.py
@@ -47,10 +47,15 @@
     for table in tables:
         state.commands.assign_table(name, table.number, table.operation_mask)
     proxy.subset, proxy.unassigned = subset, False
+    proxy.assigned_at_ns = state.now_ns + budget.max_delivery_ns(state)
     loads[subset].request_rate += request_rate(proxy)
 
 
 def _are_usable(tables: list[EndpointTable], migrating: bool) -> bool:
-    """Return whether any table has endpoints, or whether all have for a proxy that would give up others."""
-    have_endpoints = [table.has_endpoints for table in tables]
-    return all(have_endpoints) if migrating else any(have_endpoints)
+    """Return whether any table has endpoints, or whether all have for a proxy that would give up others.
+
+    One whose endpoints wait for its limit to take effect counts as well: it has to be in use until then.
+    """
+    if migrating:
+        return all(table.has_endpoints for table in tables)
+    return any(table.has_endpoints or table.limited_since_ns is not None for table in tables)
--- a/swiftchute/policy/desired_tables.py
+++ b/swiftchute/policy/desired_tables.py
@@ -1,10 +1,11 @@
 """Desired tables: computes the entries of each table from health, warm-up, spillover and admission."""
 
-from swiftchute.policy.admission import admission_of, is_close
+from swiftchute.policy.admission import admission_of, is_close, min_change
 from swiftchute.policy.model import Admission, Endpoint, EndpointTable
 from swiftchute.policy.publishing import is_urgent_drop
 from swiftchute.policy.slow_start import endpoint_weight, is_warming_up, limit_warming_endpoints
 from swiftchute.policy.state import PolicyState
+from swiftchute.policy.warming_tables import limit_table
 from swiftchute.policy.zone_spillover import MIN_SPILLOVER_FRACTION
 
 MIN_WEIGHT_CHANGE = 0.12  # smaller relative changes of a weight are ignored
@@ -95,9 +96,14 @@
     A table with warming endpoints allows no retries: requests that full endpoints reject would be retried at
     the warming ones.
     """
-    rate = min(limit_warming_endpoints(state, table, entries), table.admission_rate)
-    warming = any(is_warming_up(state, state.endpoints[name]) for name in entries)
-    return admission_of(rate, may_retry=bool(table.retry_policy) and not warming)
+    servable = limit_warming_endpoints(state, table, entries)
+    share = table.admission_rate
+    if servable is not None:
+        share = min(limit_table(state, table, entries, servable), share)
+    lacks_warm = servable is not None and state.settings.admission_mode != "share"
+    has_warming = any(is_warming_up(state, state.endpoints[name]) for name in entries)
+    may_retry = bool(table.retry_policy) and not has_warming and not lacks_warm
+    return admission_of(state, table, share, may_retry)
 
 
 def _update_desired(state: PolicyState, table: EndpointTable, entries: Entries, admission: Admission) -> None:
@@ -106,13 +112,13 @@
     table.desired = {name: weight for name, weight in before.items() if name in entries}
     # checks published entries, as one may already wait for its removal when its endpoint begins to drain
     urgent = any(not state.endpoints[name].is_ready for name in table.published.keys() - entries.keys())
-    urgent |= not table.has_endpoints and bool(entries)
+    urgent |= table.has_endpoints != bool(entries)
     for name, weight in entries.items():
         old = table.desired.get(name)
         if old is None or abs(weight - old) > MIN_WEIGHT_CHANGE * old:
             urgent |= is_urgent_drop(name, weight, table.published)
             table.desired[name] = round(weight, WEIGHT_DIGITS) or MIN_WEIGHT
-    if admission_before is None or not is_close(admission, admission_before):
+    if admission_before is None or not is_close(admission, admission_before, min_change(state)):
         table.desired_admission = admission
     if urgent and table.urgent_since_ns is None:
         table.urgent_since_ns = state.now_ns
--- a/swiftchute/policy/egress_budget.py
+++ b/swiftchute/policy/egress_budget.py
@@ -112,6 +112,12 @@
             self.unacknowledged_entries -= pending.pop(next(iter(pending)))
         self._moved_at_ns = state.now_ns
 
+    def max_delivery_ns(self, state: PolicyState) -> int:
+        """Return how long a message that is written now takes to its proxy at most, as far as is known."""
+        settings = state.settings
+        speed = settings.egress_rate_entries_per_s * self.channel_speed_ratio
+        return int(self.queued_entries * NS_PER_S / speed) + settings.max_push_delay_ns
+
     def on_egress_queue_observed(self, event: EgressQueueObserved) -> None:
         """Record how many entries the channel holds beyond the unacknowledged ones."""
         self._additional_entries = max(event.entries - self.unacknowledged_entries, 0)
--- a/swiftchute/policy/key_range_load.py
+++ b/swiftchute/policy/key_range_load.py
@@ -13,11 +13,11 @@
 from swiftchute.policy.load_stats import demand_rate
 from swiftchute.policy.model import MAX_DEMAND_SAMPLES, DemandSample
 from swiftchute.policy.slow_start import (
-    MIN_WARMING_UP_ADMISSION_RATE,
     is_warming_up,
     safe_load_fraction,
 )
 from swiftchute.policy.state import PolicyState
+from swiftchute.policy.warming_tables import MIN_WARMING_UP_SHARE
 
 MIN_ENDPOINT_WEIGHT = 0.001  # replaces a zero weight in divisions
 MIN_LOAD_LIMIT = 0.001  # replaces a zero limit in divisions
@@ -47,10 +47,10 @@
         self.unserved_since_ns: int | None = None
         self.is_displaced = False
 
-    def record_demand(self, report: KeyRangeDemandReport) -> None:
+    def record_demand(self, report: KeyRangeDemandReport, now_ns: int) -> None:
         """Store a demand report."""
         samples = self.demand.setdefault(report.operation, deque(maxlen=MAX_DEMAND_SAMPLES))
-        samples.append(DemandSample(report.requests, report.window_ns))
+        samples.append(DemandSample(report.requests, report.window_ns, now_ns))
 
     @property
     def request_rate(self) -> float | None:
@@ -150,7 +150,7 @@
         if len(self._warming_endpoints()) < len(self._ready):
             return 1.0
         highest = max(self.utilization(name) for name in self._ready)
-        return min(max(round(1 / max(highest, 1.0), WEIGHT_DIGITS), MIN_WARMING_UP_ADMISSION_RATE), 1.0)
+        return min(max(round(1 / max(highest, 1.0), WEIGHT_DIGITS), MIN_WARMING_UP_SHARE), 1.0)
 
     def _warming_endpoints(self) -> list[str]:
         return [name for name, endpoint in self._ready.items() if is_warming_up(self._state, endpoint)]
--- a/swiftchute/policy/key_ranges.py
+++ b/swiftchute/policy/key_ranges.py
@@ -12,7 +12,7 @@
     KeyRangeRevoked,
     ProxyId,
 )
-from swiftchute.policy.admission import MIN_ADMISSION_CHANGE, admission_of, write_admission
+from swiftchute.policy.admission import MIN_SHARE_CHANGE, share_admission, write_admission
 from swiftchute.policy.channel_turns import PushKind
 from swiftchute.policy.egress_budget import EgressBudget, Reservation
 from swiftchute.policy.key_range_load import KeyRange, KeyRangeLoads
@@ -57,11 +57,11 @@
         known.entries[event.endpoint] = event.weight
         self._is_settled = False
 
-    def on_demand_report(self, event: KeyRangeDemandReport) -> None:
+    def on_demand_report(self, state: PolicyState, event: KeyRangeDemandReport) -> None:
         """Record the requests for a key range."""
         known = self._ranges.get(event.key_range)
         if known is not None:
-            known.record_demand(event)
+            known.record_demand(event, state.now_ns)
 
     def on_list_update(self) -> None:
         """Take note that the endpoints have changed."""
@@ -212,17 +212,17 @@
 
     def _update_admission(self, state: PolicyState, budget: EgressBudget, loads: KeyRangeLoads) -> bool:
         """Limit admission while only warming endpoints are ready; return False if it has to wait."""
-        if state.settings.admission_mode == "none":
+        if state.settings.admission_mode != "share":
             return True
         rate, published = loads.admission_rate(), self._published_admission
-        is_close = rate == published or (rate < 1 and abs(rate - published) < MIN_ADMISSION_CHANGE)
+        is_close = rate == published or (rate < 1 and abs(rate - published) < MIN_SHARE_CHANGE)
         lacks_limit = rate < 1 and self._has_range_without_admission
         if is_close and not lacks_limit:
             return True
         kind = PushKind.URGENT if rate < published or lacks_limit else PushKind.ORDINARY
         if budget.reserve(state, state.proxies, 1, kind) is not Reservation.GRANTED:
             return False
-        write_admission(state, None, admission_of(rate, may_retry=True))
+        write_admission(state, None, share_admission(rate, may_retry=True))
         self._published_admission = rate
         self._has_range_without_admission = False
         return True
--- a/swiftchute/policy/load_stats.py
+++ b/swiftchute/policy/load_stats.py
@@ -52,7 +52,7 @@
     proxy = state.proxies.get(report.proxy)
     if proxy is not None:
         samples = proxy.demand.setdefault(report.operation, deque(maxlen=MAX_DEMAND_SAMPLES))
-        samples.append(DemandSample(report.requests, report.window_ns))
+        samples.append(DemandSample(report.requests, report.window_ns, state.now_ns))
 
 
 def request_rate(proxy: Proxy) -> float:
@@ -66,13 +66,30 @@
 def demand_rate(demand: dict[str, deque[DemandSample]]) -> float:
     """Return the requests per second of demand reports: the mean over each operation's, summed over them."""
     return sum(
-        sum(requests for requests, _ in samples)
+        sum(sample.requests for sample in samples)
         * NS_PER_S
-        / max(sum(window_ns for _, window_ns in samples), 1)  # 1 ns: avoids division by zero
+        / max(sum(sample.window_ns for sample in samples), 1)  # 1 ns: avoids division by zero
         for samples in demand.values()
     )
 
 
+def operation_request_rate(state: PolicyState, proxy: Proxy, operation: str) -> float:
+    """Return the requests per second for one operation at a proxy.
+
+    The mean includes times without requests between the kept reports. Before the first report of the proxy it
+    is an equal part of the rate that the proxy announced.
+    """
+    if not proxy.demand:
+        return proxy.expected_request_rate / len(state.settings.operations)
+    samples = proxy.demand.get(operation)
+    if not samples:
+        return 0.0
+    begin_ns = samples[0].reported_at_ns - samples[0].window_ns
+    end_ns = samples[-1].reported_at_ns if len(samples) == MAX_DEMAND_SAMPLES else state.now_ns
+    span_ns = max(end_ns - begin_ns, sum(sample.window_ns for sample in samples), 1)
+    return sum(sample.requests for sample in samples) * NS_PER_S / span_ns
+
+
 def zone_request_rate(state: PolicyState, zone: str) -> float:
     """Return the requests per second at a zone's proxies, including clients' repeats of rejected ones."""
     return sum(request_rate(proxy) for proxy in state.proxies.values() if proxy.zone == zone)
--- a/swiftchute/policy/model.py
+++ b/swiftchute/policy/model.py
@@ -26,10 +26,11 @@
 
 
 class DemandSample(NamedTuple):
-    """One demand report of a proxy, for one operation."""
+    """One demand report of a proxy, for one operation; without a request there is none."""
 
     requests: int
     window_ns: int
+    reported_at_ns: int
 
 
 class AdmissionSample(NamedTuple):
@@ -108,12 +109,14 @@
         expected_request_rate: Requests per second that it announced when it connected.
         subset: Index of its assigned subset in its zone, None before the first assignment.
         unassigned: Whether it waits for an assignment; until then a migrating proxy keeps its old tables.
+        assigned_at_ns: When it received its tables, as far as is known; None before the first assignment.
         message_times_ns: Times at which messages were written to it.
         unacknowledged_entries: Entries of each unacknowledged message, by nonce.
         demand: Latest demand reports by operation.
     """
 
     __slots__ = (
+        "assigned_at_ns",
         "demand",
         "expected_request_rate",
         "message_times_ns",
@@ -128,6 +131,7 @@
         self.zone = zone
         self.expected_request_rate = expected_request_rate
         self.subset: int | None = None
+        self.assigned_at_ns: int | None = None
         self.unassigned = True
         self.message_times_ns: deque[int] = deque()
         self.unacknowledged_entries: dict[int, float] = {}
@@ -149,6 +153,8 @@
         published: Entries that were last pushed.
         desired_admission: Admission that the rules currently call for, None before the first evaluation.
         published_admission: Admission that was last pushed, None before the first push.
+        limited_since_ns: Since when a limit by rate has been in force and the table has had no warm endpoint,
+            None without such a limit.
         first_change_ns: Time of the first change of `desired` since the last push, None without a change.
         last_change_ns: Time of the last change of `desired`.
         urgent_since_ns: Time of the first unpublished change that must not wait for the debounce, or None.
@@ -165,6 +171,7 @@
         "desired_admission",
         "first_change_ns",
         "last_change_ns",
+        "limited_since_ns",
         "number",
         "operation_mask",
         "published",
@@ -189,6 +196,7 @@
         self.published: dict[str, float] = {}
         self.desired_admission: Admission | None = None
         self.published_admission: Admission | None = None
+        self.limited_since_ns: int | None = None
         self.first_change_ns: int | None = None
         self.last_change_ns = 0
         self.urgent_since_ns: int | None = None
--- a/swiftchute/policy/publishing.py
+++ b/swiftchute/policy/publishing.py
@@ -3,11 +3,12 @@
 from typing import NamedTuple
 
 from swiftchute.api.events import ProxyId
-from swiftchute.policy.admission import write_admission
+from swiftchute.policy.admission import is_limited_by_rate, write_admission
 from swiftchute.policy.channel_turns import PushKind
 from swiftchute.policy.conditions import report_condition
 from swiftchute.policy.egress_budget import EgressBudget, Reservation
 from swiftchute.policy.model import Admission, EndpointTable
+from swiftchute.policy.slow_start import is_warming_up
 from swiftchute.policy.state import PolicyState
 from swiftchute.policy.units import NS_PER_MS, NS_PER_S
 
@@ -129,7 +130,7 @@
         if reservation is not Reservation.GRANTED:
             return reservation
     for table, each in zip(subset.tables, changes, strict=True):
-        _write_changes(state, table, each)
+        _write_changes(state, budget, table, each)
     return Reservation.GRANTED
 
 
@@ -142,7 +143,7 @@
         if reservation is not Reservation.GRANTED:
             return
     for table, each in zip(subset.tables, changes, strict=True):
-        _write_changes(state, table, each)
+        _write_changes(state, budget, table, each)
         table.first_change_ns = None
         table.pushed_at_ns = state.now_ns
 
@@ -170,7 +171,9 @@
     )
 
 
-def _write_changes(state: PolicyState, table: EndpointTable, changes: _TableChanges) -> None:
+def _write_changes(
+    state: PolicyState, budget: EgressBudget, table: EndpointTable, changes: _TableChanges
+) -> None:
     """Write changes, the admission first, and removals last so that the table is never empty in between."""
     if changes.admission is not None:
         write_admission(state, table.number, changes.admission)
@@ -180,3 +183,13 @@
     merged = table.published | changes.entries
     table.published = {name: weight for name, weight in merged.items() if weight}
     table.urgent_since_ns = None
+    _record_limit(state, budget, table)
+
+
+def _record_limit(state: PolicyState, budget: EgressBudget, table: EndpointTable) -> None:
+    """Record since when a table without a warm endpoint has been limited by rate."""
+    has_warm = any(not is_warming_up(state, state.endpoints[name]) for name in table.published)
+    if has_warm or not is_limited_by_rate(state, table.published_admission):
+        table.limited_since_ns = None
+    elif table.limited_since_ns is None:
+        table.limited_since_ns = state.now_ns + budget.max_delivery_ns(state)
--- a/swiftchute/policy/reconciler.py
+++ b/swiftchute/policy/reconciler.py
@@ -165,7 +165,7 @@
             KeyRangeAssigned: lambda event: self.key_ranges.on_assigned(state, event),
             KeyRangeRevoked: self.key_ranges.on_revoked,
             KeyRangeEntryRestored: self.key_ranges.on_entry_restored,
-            KeyRangeDemandReport: self.key_ranges.on_demand_report,
+            KeyRangeDemandReport: lambda event: self.key_ranges.on_demand_report(state, event),
             # these events change nothing
             ProbeCompleted: _ignore,
             PeerMessageReceived: _ignore,
--- a/swiftchute/policy/slow_start.py
+++ b/swiftchute/policy/slow_start.py
@@ -12,7 +12,6 @@
 
 INITIAL_WEIGHT_FRACTION = 0.25  # fraction of its full weight that a starting endpoint gets
 OVERLOAD_SAFETY_FACTOR = 0.4  # fraction of the permitted rate to plan for: proxies' choices vary
-MIN_WARMING_UP_ADMISSION_RATE = 0.1  # lower bound where all endpoints of a table are warming up
 MAX_REPORT_WINDOW_NS = MAX_THROUGHPUT_SAMPLES * NS_PER_S  # longer reports say nothing about throughput
 MIN_TOTAL_WEIGHT = 0.001  # replaces a zero weight in divisions
 MIN_REQUEST_RATE_PER_S = 0.1  # replaces a zero rate in divisions
@@ -50,12 +49,14 @@
 
 
 def safe_load_fraction(state: PolicyState, endpoint: Endpoint) -> float:
-    """Return the load that a warming endpoint may be sent, as a fraction of its full capacity.
-
-    This is a safe fraction of the multiple of its current capacity at which it would be overloaded.
-    """
+    """Return the load that a warming endpoint may be sent, as a fraction of its full capacity."""
     start_fraction = state.settings.start_capacity_fraction
     capacity_fraction = start_fraction + (1 - start_fraction) * warmup_progress(state, endpoint)
+    return _safe_fraction(state, capacity_fraction)
+
+
+def _safe_fraction(state: PolicyState, capacity_fraction: float) -> float:
+    """Return a safe fraction of the multiple of a capacity at which an endpoint would be overloaded."""
     return OVERLOAD_SAFETY_FACTOR * state.settings.overload_multiple * capacity_fraction
 
 
@@ -77,7 +78,17 @@
     return zone_request_rate(state, zone) / max(weight, 1)
 
 
-def limit_warming_endpoints(state: PolicyState, table: EndpointTable, entries: dict[str, float]) -> float:
+def starting_endpoint_share(state: PolicyState, table: EndpointTable) -> float:
+    """Return the share of a table's requests that a starting endpoint of its zone can serve."""
+    weights = [e.listed_weight for e in state.endpoints.values() if e.zone == table.zone]
+    fraction = _safe_fraction(state, state.settings.start_capacity_fraction)
+    rate = fraction * _full_throughput(state, table.zone) * min(weights, default=1.0)
+    return rate / _table_request_rate(state, table)
+
+
+def limit_warming_endpoints(
+    state: PolicyState, table: EndpointTable, entries: dict[str, float]
+) -> float | None:
     """Limit the weights of warming endpoints so that none exceeds its maximum request rate.
 
     Args:
@@ -86,31 +97,32 @@
         entries: Weights by endpoint; warming endpoints are limited or removed in place.
 
     Returns:
-        The admission rate that the warming endpoints can serve alone; 1 if the table has warm endpoints.
+        The share of the requests that the endpoints can serve, None if any of them is warm.
     """
     warming = [name for name in entries if is_warming_up(state, state.endpoints[name])]
     if not warming:
-        return 1.0
-    table_rate = max(_table_request_rate(state, table), MIN_REQUEST_RATE_PER_S)
+        return None if entries else 0.0
+    table_rate = _table_request_rate(state, table)
     max_shares = {name: max_request_rate(state, state.endpoints[name]) / table_rate for name in warming}
     total_share = sum(max_shares.values())
     warm_weight = sum(weight for name, weight in entries.items() if name not in max_shares)
     if warm_weight and _must_exclude_warming(state, table.zone, total_share):
         for name in warming:
             del entries[name]
-        return 1.0
+        return None
     if total_share < 1:
         for name, share in max_shares.items():
             limit = warm_weight * share / (1 - total_share) if warm_weight else share
             entries[name] = min(entries[name], limit) if warm_weight else limit
-    return 1.0 if warm_weight else min(max(total_share, MIN_WARMING_UP_ADMISSION_RATE), 1.0)
+    return None if warm_weight else total_share
 
 
 def _table_request_rate(state: PolicyState, table: EndpointTable) -> float:
     """Return the admitted requests per second of a table's proxies, at least an equal share of the zone's."""
     assigned = [p for p in state.proxies.values() if (p.zone, p.subset) == (table.zone, table.subset)]
     zone_part = zone_request_rate(state, table.zone) / state.subset_counts[table.zone]
-    return max(sum(request_rate(proxy) for proxy in assigned), zone_part) * table.admission_rate
+    offered = max(sum(request_rate(proxy) for proxy in assigned), zone_part)
+    return max(offered * table.admission_rate, MIN_REQUEST_RATE_PER_S)
 
 
 def _must_exclude_warming(state: PolicyState, zone: str, total_share: float) -> bool:
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from swiftchute.policy.admission import admission_of
+from swiftchute.policy.admission import share_admission
 from swiftchute.policy.load_stats import request_rate
 from swiftchute.policy.slow_start import limit_warming_endpoints, max_request_rate
 from tests.support.policy import CALM, list_changes
@@ -66,9 +66,9 @@
 
 def test_tables_with_warming_endpoints_allow_no_retries(started):
     started.run(5, CALM)
-    assert started.table().desired_admission == admission_of(1.0, may_retry=True)
+    assert started.table().desired_admission == share_admission(1.0, may_retry=True)
     started.run_round(list_changes([started.endpoint("e9", age_s=0)]))
-    assert started.table().desired_admission == admission_of(1.0, may_retry=False)
+    assert started.table().desired_admission == share_admission(1.0, may_retry=False)
 
 
 def test_warming_endpoint_is_limited_by_the_request_rate_of_its_own_subset(make_harness):
