Endpoints of a cold zone wait where limits have no effect

Cause: where proxies disregard limits, a table of warming endpoints alone got all requests as soon as one was listed. Change: they enter the table once they can serve half of its requests by the rule of slow start, and leave it under three tenths. Without a warm endpoint, a table without entries breaks no rule; a warm one enters as before.

--- a/swiftchute/policy/warming_tables.py
+++ b/swiftchute/policy/warming_tables.py
@@ -16,6 +16,8 @@
 from swiftchute.policy.units import NS_PER_S
 
 MIN_WARMING_UP_SHARE = 0.1  # lower bound of what warming endpoints alone admit if admission is by share
+MIN_UNLIMITED_SHARE = 0.5  # servable share from which on endpoints take all requests if admission is off
+MIN_STAY_SHARE = 0.3  # servable share below which they leave the table again
 MAX_BURST_MULTIPLE = 1.5  # of the servable requests, for those that proxies may send when a limit rises
 MAX_UNSPENT_FRACTION = 0.5  # of the servable requests, for those that a limit does not hold back yet
 
@@ -33,6 +35,11 @@
     """
     if state.settings.admission_mode == "rate":
         return _limit_by_rate(state, table, entries, servable)
+    if state.settings.admission_mode == "none":
+        min_servable = MIN_STAY_SHARE if table.has_endpoints else MIN_UNLIMITED_SHARE
+        if servable < min_servable:
+            entries.clear()
+        return 1.0
     return min(max(servable, MIN_WARMING_UP_SHARE), 1.0) if entries else 1.0
 
 
--- a/tests/policy/test_cold_zone.py
+++ b/tests/policy/test_cold_zone.py
@@ -41,7 +41,7 @@
     "proxies divide in the outage": (MIX, {"actions": [divide(14.0)]}),
     "proxies join again": (MIX, {"actions": [(20.0, lambda day: day.join(day.proxies))]}),
     "burst after a pause": (MIX, {"actions": [pause(14.0, True), pause(18.2, False)]}),
-    "lost twice": (MIX, {"actions": [(17.5, lambda day: day.lose()), (20.5, lambda day: day.bring_back())]}),
+    "lost twice": (MIX, {"actions": [(19.5, lambda day: day.lose()), (22.0, lambda day: day.bring_back())]}),
     "restarts that the list never calls gone": (
         MIX,
         {"actions": [(5.0, lambda day: day.restart_endpoints())]},
@@ -49,7 +49,7 @@
 }
 
 
-@pytest.mark.parametrize("admission_mode", ["rate"])
+@pytest.mark.parametrize("admission_mode", ["rate", "none"])
 @pytest.mark.parametrize("name", DAYS)
 def test_starting_endpoints_of_a_lost_zone_are_not_overloaded(name, admission_mode):
     demands, settings = DAYS[name]
--- a/tests/support/cold_zone.py
+++ b/tests/support/cold_zone.py
@@ -76,7 +76,7 @@
         self.actions = [
             (LOST_S, lambda _: self.down.update(self.lost)),
             (REMOVED_S, lambda _: self.list_endpoints(self.lost, "gone")),
-            *[(self._return_at(), lambda _, name=name: self.start(name)) for name in self.lost],
+            (RETURNED_S, lambda _: self.bring_back()),
             *actions,
         ]
         self.add_instance(self.proxies)
@@ -145,9 +145,10 @@
         self.list_endpoints(self.lost, "gone")
 
     def bring_back(self):
-        """Start the endpoints of the zone again."""
+        """Start the endpoints of the zone again, within a second."""
         for name in self.lost:
-            self.start(name)
+            at_s = self.now_s + self.random.random()
+            self.actions.append((at_s, lambda _, name=name: self.start(name)))
 
     def restart_endpoints(self):
         """Restart the endpoints of the zone so quickly that the list has new start times and nothing else."""
@@ -161,9 +162,6 @@
         listed_s = self.now_s + self.random.uniform(0.21, 2.4)
         self.actions.append((listed_s, lambda _: self.list_endpoints([name], "ready")))
 
-    def _return_at(self):
-        return RETURNED_S + self.random.random()
-
     def _record(self, harness, name, state):
         started_s = self.started_s.get(name)
         age_s = None if started_s is None else self.now_s - started_s
