Limits for warming endpoints fall as far as these need, also below a tenth

Cause: a lower bound of 0.1 on the share that warming endpoints alone admit, whatever they can serve. Change: the bound is gone, for tables and for key ranges. Two new tests fail without the change.

--- a/swiftchute/policy/key_range_load.py
+++ b/swiftchute/policy/key_range_load.py
@@ -9,7 +9,7 @@
 from enum import IntEnum
 
 from swiftchute.api.events import KeyRangeDemandReport
-from swiftchute.policy.desired_tables import WEIGHT_DIGITS
+from swiftchute.policy.admission import MIN_SHARE, SHARE_DIGITS
 from swiftchute.policy.load_stats import demand_rate
 from swiftchute.policy.model import MAX_DEMAND_SAMPLES, DemandSample
 from swiftchute.policy.slow_start import (
@@ -17,7 +17,6 @@
     safe_load_fraction,
 )
 from swiftchute.policy.state import PolicyState
-from swiftchute.policy.warming_tables import MIN_WARMING_UP_SHARE
 
 MIN_ENDPOINT_WEIGHT = 0.001  # replaces a zero weight in divisions
 MIN_LOAD_LIMIT = 0.001  # replaces a zero limit in divisions
@@ -150,7 +149,7 @@
         if len(self._warming_endpoints()) < len(self._ready):
             return 1.0
         highest = max(self.utilization(name) for name in self._ready)
-        return min(max(round(1 / max(highest, 1.0), WEIGHT_DIGITS), MIN_WARMING_UP_SHARE), 1.0)
+        return min(max(round(1 / max(highest, 1.0), SHARE_DIGITS), MIN_SHARE), 1.0)
 
     def _warming_endpoints(self) -> list[str]:
         return [name for name, endpoint in self._ready.items() if is_warming_up(self._state, endpoint)]
--- a/swiftchute/policy/warming_tables.py
+++ b/swiftchute/policy/warming_tables.py
@@ -15,7 +15,6 @@
 from swiftchute.policy.state import PolicyState
 from swiftchute.policy.units import NS_PER_S
 
-MIN_WARMING_UP_SHARE = 0.1  # lower bound of what warming endpoints alone admit if admission is by share
 MIN_UNLIMITED_SHARE = 0.5  # servable share from which on endpoints take all requests if admission is off
 MIN_STAY_SHARE = 0.3  # servable share below which they leave the table again
 MAX_BURST_MULTIPLE = 1.5  # of the servable requests, for those that proxies may send when a limit rises
@@ -40,7 +39,7 @@
         if servable < min_servable:
             entries.clear()
         return 1.0
-    return min(max(servable, MIN_WARMING_UP_SHARE), 1.0) if entries else 1.0
+    return min(max(servable, MIN_SHARE), 1.0) if entries else 1.0
 
 
 def _limit_by_rate(
--- a/tests/policy/test_cold_zone.py
+++ b/tests/policy/test_cold_zone.py
@@ -33,6 +33,7 @@
     "few busy proxies": ((Demand(1.0), Demand(20.0, True, senders=0.1)), {}),
     "many slow proxies": ((Demand(0.1), Demand(0.1, True)), MANY | {"proxies": 300}),
     "few proxies": ((Demand(8.0), Demand(8.0, True)), {"proxies": 15}),
+    "many endpoints": (MIX, {"zones": 1, "endpoints": 30, "proxies": 120}),
     "one operation": ((Demand(3.0, True),), {"zones": 2}),
     "no other zone": (MIX, {"zones": 1}),
     "restart while the limit holds": (MIX, {"actions": [restart(18.5)]}),
@@ -49,7 +50,7 @@
 }
 
 
-@pytest.mark.parametrize("admission_mode", ["rate", "none"])
+@pytest.mark.parametrize("admission_mode", ["rate", "none", "share"])
 @pytest.mark.parametrize("name", DAYS)
 def test_starting_endpoints_of_a_lost_zone_are_not_overloaded(name, admission_mode):
     demands, settings = DAYS[name]
--- a/tests/policy/test_key_range_load.py
+++ b/tests/policy/test_key_range_load.py
@@ -126,6 +126,17 @@
     assert commands[0].of("set_admission") + commands[1].of("set_admission") == [(None, 0, 1.0, 1)]
 
 
+def test_admission_falls_as_far_as_one_starting_endpoint_of_many_needs(make_harness):
+    """Guards against a lower bound of the limit that is more than the endpoint can serve."""
+    harness = make_harness(key_range_count=12)
+    records = [harness.endpoint(f"e{number}") for number in range(12)]
+    assigned = [KeyRangeAssigned(number) for number in range(12)]
+    harness.run_round(EndpointListUpdate(ListScope.CACHED, records), *assigned)
+    left = [harness.endpoint(f"e{number}", state="gone") for number in range(1, 12)]
+    commands = harness.run_round(list_changes([*left, harness.endpoint("e0", age_s=0)]), wait_s=2)
+    assert [limit for _, _, limit, _ in commands.of("set_admission")] == [0.3 / 12]  # at 0.3 of its capacity
+
+
 def test_a_warming_endpoint_is_not_pushed_over_for_a_warm_one_that_has_more_than_its_share(measured):
     """Guards against a choice by the load alone, where the warm endpoints are short of capacity."""
     harness = measured()
