tests: compare a limit of key ranges as a float

Cause: 0.3 / 12 is not exactly 0.025; the test of 'Limits for warming endpoints fall as far as these need' landed red. Change: pytest.approx, as for other rates. tests/policy/test_key_range_load.py passes (16).

--- a/tests/policy/test_key_range_load.py
+++ b/tests/policy/test_key_range_load.py
@@ -134,7 +134,8 @@
     harness.run_round(EndpointListUpdate(ListScope.CACHED, records), *assigned)
     left = [harness.endpoint(f"e{number}", state="gone") for number in range(1, 12)]
     commands = harness.run_round(list_changes([*left, harness.endpoint("e0", age_s=0)]), wait_s=2)
-    assert [limit for _, _, limit, _ in commands.of("set_admission")] == [0.3 / 12]  # at 0.3 of its capacity
+    limits = [limit for _, _, limit, _ in commands.of("set_admission")]
+    assert limits == [pytest.approx(0.3 / 12)]  # at 0.3 of its capacity
 
 
 def test_a_warming_endpoint_is_not_pushed_over_for_a_warm_one_that_has_more_than_its_share(measured):
