The capacity of a zone of which little is listed is not taken for all its requests

Cause: before any report of throughput, a zone's requests were divided by the endpoints of the zone that are listed, one at first. Change: the requests of all zones by all endpoints is the upper bound, with at least as many as a subset has. One digest is recorded anew ('proxies eject nobody'): its endpoints start before any report, and get less.

--- a/swiftchute/policy/slow_start.py
+++ b/swiftchute/policy/slow_start.py
@@ -69,13 +69,17 @@
 def _full_throughput(state: PolicyState, zone: str) -> float:
     """Estimate the full capacity of a zone's endpoints, in requests per second and unit of weight.
 
-    The estimate is the highest recent throughput; before any report, it follows from the announced rates.
+    The estimate is the highest recent throughput. Before any report, it follows from the request rates of the
+    zone and of all zones, whichever are less for an endpoint: most of a lost zone may not be listed yet.
     """
     observed = max(state.observed_throughput.get(zone, ()), default=0)
     if observed:
         return observed
-    weight = sum(e.listed_weight for e in state.endpoints.values() if e.zone == zone)
-    return zone_request_rate(state, zone) / max(weight, 1)
+    zone_weight = sum(e.listed_weight for e in state.endpoints.values() if e.zone == zone)
+    total_weight = sum(e.listed_weight for e in state.endpoints.values())
+    total_rate = sum(request_rate(proxy) for proxy in state.proxies.values())
+    in_zone = zone_request_rate(state, zone) / max(zone_weight, 1)
+    return min(in_zone, total_rate / max(total_weight, state.settings.subset_size))
 
 
 def starting_endpoint_share(state: PolicyState, table: EndpointTable) -> float:
--- a/tests/policy/test_cold_zone.py
+++ b/tests/policy/test_cold_zone.py
@@ -37,6 +37,8 @@
     "one operation": ((Demand(3.0, True),), {"zones": 2}),
     "no other zone": (MIX, {"zones": 1}),
     "restart while the limit holds": (MIX, {"actions": [restart(18.5)]}),
+    "restart in the outage": (MIX, {"actions": [restart(15.0)]}),
+    "restart in the outage of the only zone": (MIX, {"zones": 1, "actions": [restart(15.0)]}),
     "restart late": (MIX, {"actions": [restart(22.0)]}),
     "proxies divide while the limit holds": (MIX, {"actions": [divide(19.0)]}),
     "proxies divide in the outage": (MIX, {"actions": [divide(14.0)]}),
--- a/tests/policy/test_command_digests.py
+++ b/tests/policy/test_command_digests.py
@@ -193,7 +193,7 @@
     "no message quota": ({"message_quota": 0}, 2495, "108341193355463f"),
     "small message quota": ({"message_quota": 4}, 2023, "ddf77aa028a35f41"),
     "removal does not bind": ({"removal_is_binding": False}, 2472, "eae2259b7403ff04"),
-    "proxies eject nobody": ({"ejection_failures": 0}, 2444, "a678677cba2afe84"),
+    "proxies eject nobody": ({"ejection_failures": 0}, 2446, "ccfbfbed06f4dad2"),
     "an operation local to its zone": (
         {"operations": (operation("read"), operation("write", zone_local=True), SIDE_EFFECTING),
          "default_retry_policy": 2},
