Tables that use the same warming endpoint share what it may be sent

Cause: tables of subsets without an endpoint use all endpoints of the zone, and each gave an endpoint its whole limit. Change: each of these tables gives it an equal part.

--- a/swiftchute/policy/desired_tables.py
+++ b/swiftchute/policy/desired_tables.py
@@ -5,6 +5,7 @@
 from swiftchute.policy.publishing import is_urgent_drop
 from swiftchute.policy.slow_start import endpoint_weight, is_warming_up, limit_warming_endpoints
 from swiftchute.policy.state import PolicyState
+from swiftchute.policy.subsetting import count_empty_subsets
 from swiftchute.policy.warming_tables import limit_table
 from swiftchute.policy.zone_spillover import MIN_SPILLOVER_FRACTION
 
@@ -19,6 +20,7 @@
     """Compute the desired entries of each table, and record when they change."""
     ready = state.ready_endpoints()
     weights = {name: endpoint_weight(state, endpoint) for name, endpoint in ready.items()}
+    count_empty_subsets(state, ready)
     for table in state.all_tables():
         entries = _local_entries(table, ready, weights)
         warming_only = all(is_warming_up(state, ready[name]) for name in entries)
--- a/swiftchute/policy/slow_start.py
+++ b/swiftchute/policy/slow_start.py
@@ -61,9 +61,13 @@
 
 
 def max_request_rate(state: PolicyState, endpoint: Endpoint) -> float:
-    """Return the requests per second that a warming endpoint may be sent."""
-    throughput = _full_throughput(state, endpoint.zone)
-    return safe_load_fraction(state, endpoint) * throughput * endpoint.listed_weight
+    """Return the requests per second that a table may send to a warming endpoint of its zone.
+
+    Tables of subsets without an endpoint use it as well, and each gets an equal part.
+    """
+    rate = safe_load_fraction(state, endpoint) * _full_throughput(state, endpoint.zone)
+    table_count = 1 + state.empty_subset_counts.get(endpoint.zone, 0)
+    return rate * endpoint.listed_weight / table_count
 
 
 def _full_throughput(state: PolicyState, zone: str) -> float:
@@ -87,7 +91,7 @@
     weights = [e.listed_weight for e in state.endpoints.values() if e.zone == table.zone]
     fraction = _safe_fraction(state, state.settings.start_capacity_fraction)
     rate = fraction * _full_throughput(state, table.zone) * min(weights, default=1.0)
-    return rate / _table_request_rate(state, table)
+    return rate / state.subset_counts[table.zone] / _table_request_rate(state, table)
 
 
 def limit_warming_endpoints(
--- a/swiftchute/policy/state.py
+++ b/swiftchute/policy/state.py
@@ -26,6 +26,7 @@
         tables: Tables of each subset: one for operations that may cross zones, one zone-local, or only one
             of them if all operations are of one kind.
         subset_counts: Number of subsets by zone, 0 until an endpoint of any zone is ready.
+        empty_subset_counts: Number of subsets without a ready endpoint, by zone.
         zone_pairs: Spillover for each ordered pair of different zones.
         load_ratios: Cost per success / latency objective by zone at the last evaluation, None if unknown.
         observed_throughput: Successes per second and unit of listed weight at each evaluation, by zone.
@@ -46,6 +47,7 @@
         self.proxies: dict[ProxyId, Proxy] = {}
         self.tables: dict[SubsetKey, list[EndpointTable]] = {}
         self.subset_counts: dict[str, int] = dict.fromkeys(zones, 0)
+        self.empty_subset_counts: dict[str, int] = dict.fromkeys(zones, 0)
         self.zone_pairs: dict[ZonePairKey, ZonePair] = {
             (zone, other): ZonePair() for zone in zones for other in zones if other != zone
         }
--- a/swiftchute/policy/subsetting.py
+++ b/swiftchute/policy/subsetting.py
@@ -43,6 +43,13 @@
             _join_smallest_subset(endpoint, ready, state.subset_counts[endpoint.zone])
 
 
+def count_empty_subsets(state: PolicyState, ready: dict[str, Endpoint]) -> None:
+    """Update the number of subsets without a ready endpoint, by zone."""
+    used = {(endpoint.zone, endpoint.subset) for endpoint in ready.values()}
+    for zone, count in state.subset_counts.items():
+        state.empty_subset_counts[zone] = sum((zone, subset) not in used for subset in range(count))
+
+
 def subset_loads(state: PolicyState, zone: str) -> list[SubsetLoad]:
     """Return the load of each subset of a zone."""
     loads = [SubsetLoad() for _ in range(state.subset_counts[zone])]
--- a/tests/policy/test_cold_zone.py
+++ b/tests/policy/test_cold_zone.py
@@ -34,6 +34,7 @@
     "many slow proxies": ((Demand(0.1), Demand(0.1, True)), MANY | {"proxies": 300}),
     "few proxies": ((Demand(8.0), Demand(8.0, True)), {"proxies": 15}),
     "many endpoints": (MIX, {"zones": 1, "endpoints": 30, "proxies": 120}),
+    "many subsets": ((Demand(2.0, True),), {"zones": 2, "endpoints": 24, "proxies": 60, "subset_size": 2}),
     "one operation": ((Demand(3.0, True),), {"zones": 2}),
     "no other zone": (MIX, {"zones": 1}),
     "restart while the limit holds": (MIX, {"actions": [restart(18.5)]}),
