Warming endpoints are not left alone in a table until their limit follows

Cause: a table counted as usable as long as any published endpoint stayed in it. Change: it counts if one of them is warm; otherwise an urgent push takes all changes along. Result: tests/policy/test_publishing.py has a test that fails without the change.

--- a/swiftchute/policy/publishing.py
+++ b/swiftchute/policy/publishing.py
@@ -123,7 +123,7 @@
 
 def _push_urgent(state: PolicyState, budget: EgressBudget, subset: _ChangedSubset) -> Reservation:
     """Push the urgent entries of a subset's tables without waiting for the debounce."""
-    changes = [_urgent_changes(table) for table in subset.tables]
+    changes = [_urgent_changes(state, table) for table in subset.tables]
     count = sum(each.entry_count for each in changes)
     if count and subset.proxies:
         reservation = budget.reserve(state, subset.proxies, count, PushKind.URGENT)
@@ -160,10 +160,14 @@
     return _TableChanges(entries, table.desired_admission if changed else None)
 
 
-def _urgent_changes(table: EndpointTable) -> _TableChanges:
-    """Return the urgent changes, or all changes if no published endpoint remains in the desired table."""
+def _urgent_changes(state: PolicyState, table: EndpointTable) -> _TableChanges:
+    """Return the urgent changes, or all changes if no published warm endpoint remains in the desired table.
+
+    Warming endpoints alone would receive all requests until their limit and endpoints of other zones follow.
+    """
     changes = _changes(table)
-    if not any(table.desired.get(name) for name in table.published):
+    remaining = [name for name in table.published if name in table.desired]
+    if all(is_warming_up(state, state.endpoints[name]) for name in remaining):
         return changes
     entries = changes.entries.items()
     return _TableChanges(
--- a/tests/policy/test_publishing.py
+++ b/tests/policy/test_publishing.py
@@ -67,6 +67,21 @@
     assert "w0" in weights_in(commands, harness.table("west", zone_local=True))
 
 
+def test_warming_endpoints_are_not_left_alone_when_the_last_warm_one_drains(make_harness):
+    """Guards against a removal that is pushed at once, and a limit and other endpoints that follow later."""
+    harness = make_harness(operations=(operation("read"), operation("write", zone_local=True)))
+    harness.start(proxies=("east", "west"))
+    harness.run(6, CALM, requests=20)
+    harness.run_round(list_changes([harness.endpoint(f"e{k}", age_s=1) for k in range(3)]))
+    harness.run(3, CALM, requests=20)
+    commands = harness.run_round(list_changes([harness.endpoint("e3", state="draining")]), wait_s=0.05)
+    assert {"w0", "w1", "w2", "w3"} <= weights_in(commands, harness.table()).keys()
+    local_table = harness.table(zone_local=True).number
+    limits = [limit for number, _, limit, _ in commands.of("set_admission") if number == local_table]
+    assert len(limits) == 1
+    assert limits[0] < 0.5
+
+
 def test_operations_with_side_effects_get_only_safe_retries(make_harness):
     pay = replace(operation("pay"), idempotency="side-effecting")
     commands = make_harness(operations=(operation("read"), pay), default_retry_policy=2).start()
