Overload is limited by rate as well, and ends retries also without limits

Callers would see: where limits are rates or off, an overloaded zone sheds nothing, and retries double its load. Cause: update_admission returned at once unless limits are shares. Without limits only retries end, which proxies obey there as well. No run with real processes overloads a fleet by rate.

--- a/swiftchute/policy/overload_control.py
+++ b/swiftchute/policy/overload_control.py
@@ -24,9 +24,8 @@
     """Update admission rate and retry policy of the tables of each zone whose load is known.
 
     Under load, retries are disabled first, then admission rates fall; recovery runs in the opposite order.
+    Where limits have no effect, admission rates stay at 1.
     """
-    if state.settings.admission_mode != "share":
-        return
     for zone, load_ratio in state.load_ratios.items():
         if load_ratio is not None:
             _update_zone(state, zone, load_ratio)
@@ -47,7 +46,8 @@
         may_shed = load_ratio > SEVERE_LOAD_RATIO or (
             load_ratio > SHED_LOAD_RATIO and (table.zone_local or saturated)
         )
-        _update_admission_rate(table, zone_rate, load_ratio, min_rate, may_shed)
+        if state.settings.admission_mode != "none":
+            _update_admission_rate(table, zone_rate, load_ratio, min_rate, may_shed)
         _report_conditions(state, table, load_ratio)
 
 
