Key ranges wait for capacity where no limit by share protects warming endpoints

A rate for all key ranges has no clear meaning (one for each proxy, or one for each of its key ranges), and a proxy may begin each with a request at once, so no limit by rate is written. Change: where no endpoint is warm and no share limits admission, a key range is only given to an endpoint that it fits, and the others wait until the endpoints have warmed up further. Result: tests/policy/test_key_range_load.py: four cases fail without the change and pass with it.

--- a/swiftchute/policy/key_range_load.py
+++ b/swiftchute/policy/key_range_load.py
@@ -21,6 +21,9 @@
 MIN_ENDPOINT_WEIGHT = 0.001  # replaces a zero weight in divisions
 MIN_LOAD_LIMIT = 0.001  # replaces a zero limit in divisions
 MAX_WARMING_UTILIZATION = 1.5  # a warming endpoint above this multiple of its limit gives up key ranges
+MAX_ADDED_UTILIZATION = (
+    1.4  # up to this multiple it takes one, if there is no warm endpoint and no limit by share
+)
 
 
 class KeyRange:
@@ -82,6 +85,8 @@
         self.load_of_range = _relative_loads(ranges)
         self._fair_load = len(ranges) / max(full_weight, MIN_ENDPOINT_WEIGHT)
         self._loads = dict.fromkeys(self._ready, 0.0)
+        self._has_warm_endpoint = len(self._warming_endpoints()) < len(self._ready)
+        self._is_limited_by_share = state.settings.admission_mode == "share"
         for key_range in ranges:
             self._add(key_range, 1)
 
@@ -103,25 +108,30 @@
         """Return the load of an endpoint as a multiple of its limit."""
         return (self._loads[endpoint] + added_load) / self.load_limit(endpoint)
 
-    def best_endpoint(self, key_range: KeyRange) -> str:
-        """Return the endpoint that should take a key range in addition to its others."""
+    def best_endpoint(self, key_range: KeyRange) -> str | None:
+        """Return the endpoint that should take a key range as well, None if it has to wait."""
         added = self.load_of_range[key_range.number]
-        return min(
+        best = min(
             self._ready,
             key=lambda name: (self._suitability(key_range, name), self.utilization(name, added), name),
+            default=None,
         )
+        if best is None or not self._must_fit:
+            return best
+        return best if self.utilization(best, added) <= MAX_ADDED_UTILIZATION else None
 
     def has_room_for(self, key_range: KeyRange) -> bool:
         """Return whether the best endpoint can take a key range within its limit."""
         target = self.best_endpoint(key_range)
+        if target is None:
+            return False
         if self._suitability(key_range, target) is not Suitability.SUITABLE:
             return False
         return self.utilization(target, self.load_of_range[key_range.number]) <= 1
 
-    @property
-    def has_ready_endpoint(self) -> bool:
-        """Whether any endpoint may receive requests."""
-        return bool(self._ready)
+    def has_endpoint_for(self, key_range: KeyRange) -> bool:
+        """Return whether any endpoint may take a key range now."""
+        return bool(self._ready) and (not self._must_fit or self.best_endpoint(key_range) is not None)
 
     def is_ready(self, endpoint: str) -> bool:
         """Return whether an endpoint may receive requests."""
@@ -130,11 +140,12 @@
     def excess_of_warming_endpoints(self, key_ranges: Iterable[KeyRange]) -> set[tuple[int, str]]:
         """Return which key ranges, by number, warming endpoints have to give up to others.
 
-        If there is no warm endpoint they share the load evenly, and the admission rate limits it.
+        If there is no warm endpoint they share the load evenly, and the admission rate limits it. Without it,
+        key ranges that do not fit stay without an endpoint.
         """
         warming = self._warming_endpoints()
         fair_utilization = 1.0
-        if warming and len(warming) == len(self._ready):
+        if self._is_limited_by_share and warming and len(warming) == len(self._ready):
             fair_utilization = max(self._mean_utilization(), 1.0)
         excess = set()
         for name in warming:
@@ -146,11 +157,16 @@
 
     def admission_rate(self) -> float:
         """Return the share of requests to admit: less than 1 if only warming endpoints are ready."""
-        if len(self._warming_endpoints()) < len(self._ready):
+        if self._has_warm_endpoint:
             return 1.0
         highest = max(self.utilization(name) for name in self._ready)
         return min(max(round(1 / max(highest, 1.0), SHARE_DIGITS), MIN_SHARE), 1.0)
 
+    @property
+    def _must_fit(self) -> bool:
+        """Whether only tables protect the endpoints: all are warming up, and no share limits admission."""
+        return not self._has_warm_endpoint and not self._is_limited_by_share
+
     def _warming_endpoints(self) -> list[str]:
         return [name for name, endpoint in self._ready.items() if is_warming_up(self._state, endpoint)]
 
--- a/swiftchute/policy/key_ranges.py
+++ b/swiftchute/policy/key_ranges.py
@@ -128,7 +128,8 @@
             if reservation not in (Reservation.GRANTED, None):
                 break  # the others go to the same proxies
         return all(
-            key_range.unserved_since_ns is None or not (loads.has_ready_endpoint or key_range.entries)
+            key_range.unserved_since_ns is None
+            or not (loads.has_endpoint_for(key_range) or key_range.entries)
             for key_range in self._ranges.values()
         )
 
@@ -142,7 +143,8 @@
         kind: PushKind,
     ) -> Reservation | None:
         """Take the next step to other entries; return None if it has to wait for a fence or an endpoint."""
-        if not key_range.entries and not loads.has_ready_endpoint:
+        best = None if usable else loads.best_endpoint(key_range)
+        if not key_range.entries and best is None:
             return None
         if state.settings.single_owner and key_range.entries:
             return self._clear(state, budget, loads, key_range, kind)
@@ -150,9 +152,7 @@
             state, budget, key_range.number
         ):
             return None
-        entries = usable
-        if not usable and loads.has_ready_endpoint:
-            entries = {loads.best_endpoint(key_range): ENTRY_WEIGHT}
+        entries = usable if best is None else {best: ENTRY_WEIGHT}
         reservation = _write_entries(state, budget, key_range, entries, kind)
         if reservation is Reservation.GRANTED:
             key_range.former_owners |= key_range.entries.keys() - entries.keys()
--- a/tests/policy/test_key_range_load.py
+++ b/tests/policy/test_key_range_load.py
@@ -126,6 +126,22 @@
     assert commands[0].of("set_admission") + commands[1].of("set_admission") == [(None, 0, 1.0, 1)]
 
 
+@pytest.mark.parametrize("single_owner", [False, True])
+@pytest.mark.parametrize("admission_mode", ["rate", "none"])
+def test_key_ranges_wait_while_no_endpoint_is_warm_and_no_limit_protects_them(admission_mode, single_owner):
+    """Guards against a fleet that restarts as a whole where limits are rates or off."""
+    warm_up = {"start_capacity_fraction": 0.1, "max_warmup_ns": 40 * 10**9}
+    fleet = KeyRangeFleet(ranges=24, admission_mode=admission_mode, single_owner=single_owner, **warm_up)
+    fleet.run(2)
+    for name in list(fleet.states):
+        fleet.change(name, "ready")
+    fleet.run(24)
+    assert sum(key_ranges_by_endpoint(fleet).values()) >= 12
+    fleet.run(20)
+    assert sum(key_ranges_by_endpoint(fleet).values()) == 24
+    assert fleet.violations == []
+
+
 def test_admission_falls_as_far_as_one_starting_endpoint_of_many_needs(make_harness):
     """Guards against a lower bound of the limit that is more than the endpoint can serve."""
     harness = make_harness(key_range_count=12)
