A limit by rate for all tables is not lowered to one request per second

Found when what passes a limit on was read: Assignments took 1.0 for the limit of a table that has none of its own, also where limits are requests per second, so a limit for all tables became one request per second. Change: only limits that were set are compared. Result: a test of the assignments and two of the push encoder, whose drawn limits have a rate now, fail without it. The platform has no writer of a limit for all tables today; with shares nothing changes.

--- a/swiftchute/controller/assignments.py
+++ b/swiftchute/controller/assignments.py
@@ -109,14 +109,14 @@
         return result
 
     def admission(self, table: int, operation: int) -> Admission:
-        """Return the effective admission rate and retry policy for an operation of a table."""
-        by_operation = self.tables[table].admission
-        own = by_operation.get(operation, (FULL_ADMISSION, self.settings.default_retry_policy))
+        """Return the effective limit and retry policy for an operation of a table."""
+        own = self.tables[table].admission.get(operation)
         common = self.common_admission.get(operation)
+        if own is None:
+            return common or (FULL_ADMISSION, self.settings.default_retry_policy)
         if common is None:
             return own
-        retry_policy = own[1] if operation in by_operation else common[1]
-        return min(own[0], common[0]), retry_policy
+        return min(own[0], common[0]), own[1]
 
     def table_name(self, table: int) -> str:
         """Return the name of a table on the proxies; it is unique across instances."""
--- a/tests/controller/test_assignments.py
+++ b/tests/controller/test_assignments.py
@@ -43,6 +43,13 @@
     assert [assignments.admission(1, operation) for operation in (0, 1)] == [(0.5, 0), (0.7, 2)]
 
 
+def test_a_limit_by_rate_for_all_tables_is_not_lowered_to_one_request(assignments):
+    """Guards against the share of 1 that stands for no limit, where limits are requests per second."""
+    assignments.set_weight(1, "a:1", 1.0)
+    assignments.set_admission(None, 0, 12.5, 2)
+    assert assignments.admission(1, 0) == (12.5, 2)
+
+
 @pytest.mark.parametrize(
     ("command", "arguments"),
     [
--- a/tests/platform/test_push_encoder.py
+++ b/tests/platform/test_push_encoder.py
@@ -158,8 +158,8 @@
 COMMANDS = st.one_of(
     st.tuples(st.just("set_weight"), TABLES, ENDPOINTS, WEIGHTS),
     st.tuples(st.just("assign_table"), st.sampled_from((0, 1, 2)), TABLES, MASKS),
-    st.tuples(st.just("set_admission"), st.one_of(st.none(), TABLES), MASKS, st.sampled_from((0.0, 0.5, 1.0)),
-              st.sampled_from((0, 1, 2, 3))),
+    st.tuples(st.just("set_admission"), st.one_of(st.none(), TABLES), MASKS,
+              st.sampled_from((0.0, 0.5, 1.0, 12.5)), st.sampled_from((0, 1, 2, 3))),
     st.tuples(st.just("set_ejected"), ENDPOINTS, st.booleans()),
     st.tuples(st.just("clear_table"), TABLES),
 )  # fmt: skip
