--- a/tests/daemon/test_hostile_clients.py
+++ b/tests/daemon/test_hostile_clients.py
@@ -1,5 +1,8 @@
 """A real `serve` beside clients that stop half way or send at full speed, on ADS, DNS over TCP and admin."""
 
+import socket
+import threading
+
 import pytest
 
 from tests.support.hostile_bytes import HTTP2_OPENING, AdsPing, ads_half, dns_query, frame
@@ -84,3 +87,24 @@
     flood.stop()
     assert peak_memory_mb(process) < 80  # 62 MB before
     assert max(bystander.latencies_s) < MAX_WAIT_S
+
+
+def test_a_resolver_that_shuts_down_its_side_gets_all_answers(served):
+    """Guards against queries that wait for their turn and are discarded at the end of the stream."""
+    _, addresses = served
+    queries, received = 3000, 0
+    with connect(addresses["dns"]) as connection:
+        connection.settimeout(10)
+        connection.sendall(with_length(dns_query(1)))
+        answer_bytes = len(connection.recv(4096))
+        sender = threading.Thread(
+            target=lambda: (
+                connection.sendall(with_length(dns_query(1)) * queries),
+                connection.shutdown(socket.SHUT_WR),
+            )
+        )
+        sender.start()
+        while data := connection.recv(1 << 16):
+            received += len(data)
+        sender.join()
+    assert received == queries * answer_bytes
