--- a/swiftchute/policy/admission.py
+++ b/swiftchute/policy/admission.py
@@ -16,6 +16,7 @@
 SHARE_DIGITS = 4  # decimal places of shares
 MIN_SHARE = 0.0001  # replaces a share that would be rounded to 0
 RATE_SIGNIFICANT_DIGITS = 6
+UNKNOWN_DEMAND_LIMIT = 1.0  # per second at each proxy, for operations without any known request
 UNLIMITED_REQUEST_RATE = 1e6  # per second; admits all requests if admission is by rate or has no effect
 
 
@@ -34,7 +35,7 @@
     return _admission_of_all(round(share, SHARE_DIGITS) or MIN_SHARE, may_retry)
 
 
-def is_close(new: Admission, old: Admission, min_change: float = MIN_SHARE_CHANGE) -> bool:
+def is_close(new: Admission, old: Admission, min_change: float) -> bool:
     """Return whether two admissions differ too little for a push.
 
     Args:
@@ -97,10 +98,10 @@
 
 
 def _rate_limit(rates: list[float], total: float) -> float:
-    """Return the limit under which the requests of all proxies add up to a total below their sum."""
+    """Return the limit under which the requests of all proxies add up to a total below their sum, if any."""
     for index, rate in enumerate(sorted(rates)):
         even_part = total / (len(rates) - index)
         if even_part <= rate and rate:
             return even_part
         total -= rate
-    return UNLIMITED_REQUEST_RATE
+    return UNKNOWN_DEMAND_LIMIT
--- a/swiftchute/policy/warming_tables.py
+++ b/swiftchute/policy/warming_tables.py
@@ -7,6 +7,8 @@
 """
 
 import math
+from collections.abc import Iterator
+from typing import NamedTuple
 
 from swiftchute.policy.admission import MIN_SHARE, table_operations, table_proxies
 from swiftchute.policy.load_stats import operation_request_rate
@@ -15,12 +17,20 @@
 from swiftchute.policy.state import PolicyState
 from swiftchute.policy.units import NS_PER_S
 
-MIN_UNLIMITED_SHARE = 0.5  # servable share from which on endpoints take all requests if admission is off
+MIN_UNLIMITED_SHARE = 0.5  # servable share from which on endpoints need not wait, whatever is admitted
 MIN_STAY_SHARE = 0.3  # servable share below which they leave the table again
 MAX_BURST_MULTIPLE = 1.5  # of the servable requests, for those that proxies may send when a limit rises
 MAX_UNSPENT_FRACTION = 0.5  # of the servable requests, for those that a limit does not hold back yet
 
 
+class _Demand(NamedTuple):
+    """Requests for one operation at one proxy."""
+
+    proxy: Proxy
+    operation: str
+    request_rate: float  # per second
+
+
 def limit_table(
     state: PolicyState, table: EndpointTable, entries: dict[str, float], servable: float
 ) -> float:
@@ -55,7 +65,8 @@
     if servable >= 1:
         return 1.0
     unspent = _unspent_share(state, table)
-    if unspent > servable * (1.0 if table.has_endpoints else MAX_UNSPENT_FRACTION):
+    max_unspent = servable * (1.0 if table.has_endpoints else MAX_UNSPENT_FRACTION)
+    if servable < MIN_UNLIMITED_SHARE and unspent > max_unspent:
         entries.clear()
         return min(starting, servable)
     if not table.has_endpoints or _burst_share(state, table) > MAX_BURST_MULTIPLE * servable:
@@ -63,14 +74,19 @@
     return max(servable - unspent, MAX_UNSPENT_FRACTION * servable)
 
 
+def _demands(state: PolicyState, table: EndpointTable) -> Iterator[_Demand]:
+    """Return the demand of a table, by proxy and operation."""
+    for proxy in table_proxies(state, table):
+        for _, operation in table_operations(state, table):
+            yield _Demand(proxy, operation, operation_request_rate(state, proxy, operation))
+
+
 def _unspent_share(state: PolicyState, table: EndpointTable) -> float:
     """Return the share of a table's requests that a proxy may admit as its first under the limit."""
     total = unspent = 0.0
-    for proxy in table_proxies(state, table):
-        for _, operation in table_operations(state, table):
-            rate = operation_request_rate(state, proxy, operation)
-            total += rate
-            unspent += rate * _unspent_probability(table, proxy, operation)
+    for demand in _demands(state, table):
+        total += demand.request_rate
+        unspent += demand.request_rate * _unspent_probability(table, demand.proxy, demand.operation)
     return unspent / total if total else 1.0
 
 
@@ -93,9 +109,8 @@
     """Return the share of the requests in an overload window that come first at a proxy and operation."""
     window_s = state.settings.overload_window_ns / NS_PER_S
     total = first = 0.0
-    for proxy in table_proxies(state, table):
-        for _, operation in table_operations(state, table):
-            rate = operation_request_rate(state, proxy, operation)
-            total += rate * window_s
-            first += 1 - math.exp(-rate * window_s)
+    for demand in _demands(state, table):
+        requests = demand.request_rate * window_s
+        total += requests
+        first += 1 - math.exp(-requests)
     return first / total if total else 1.0
