Proxies are assigned to tables whose endpoints wait, and the log says that they wait

Found when the change was read again: where limits are off, a proxy that joined while all endpoints of its only table waited was not assigned, and went on with tables that may name them. An instance that starts then has such proxies. Change: a table whose endpoints wait counts as usable for a first assignment, with limits by rate or without. The condition 'warming wait' says which tables wait and what their endpoints can serve. Result: a case of tests/policy/test_assignment.py fails without the change.

--- a/swiftchute/observability/logging.py
+++ b/swiftchute/observability/logging.py
@@ -19,6 +19,7 @@
     ("usual_ms", re.compile(r"usual (-?\d+(?:\.\d+)?)")),
     ("again_s", re.compile(r"asked again in (-?\d+(?:\.\d+)?) s")),
     ("waited_s", re.compile(r"waits for (-?\d+(?:\.\d+)?) s")),
+    ("servable", re.compile(r"can serve (-?\d+(?:\.\d+)?) of the requests")),
     ("pace", re.compile(r"(-?\d+(?:\.\d+)?) of its usual pace")),
     ("entries", re.compile(r"(\d+) entries")),
 )
--- a/swiftchute/policy/assignment.py
+++ b/swiftchute/policy/assignment.py
@@ -54,8 +54,8 @@
 def _are_usable(tables: list[EndpointTable], migrating: bool) -> bool:
     """Return whether any table has endpoints, or whether all have for a proxy that would give up others.
 
-    One whose endpoints wait for its limit to take effect counts as well: it has to be in use until then.
+    One whose endpoints wait until they can serve enough counts as well: what the proxy held may name them.
     """
     if migrating:
         return all(table.has_endpoints for table in tables)
-    return any(table.has_endpoints or table.limited_since_ns is not None for table in tables)
+    return any(table.has_endpoints or table.endpoints_wait for table in tables)
--- a/swiftchute/policy/desired_tables.py
+++ b/swiftchute/policy/desired_tables.py
@@ -1,6 +1,7 @@
 """Desired tables: computes the entries of each table from health, warm-up, spillover and admission."""
 
 from swiftchute.policy.admission import admission_of, is_close, min_change
+from swiftchute.policy.conditions import report_condition
 from swiftchute.policy.model import Admission, Endpoint, EndpointTable
 from swiftchute.policy.publishing import is_urgent_drop
 from swiftchute.policy.slow_start import endpoint_weight, is_warming_up, limit_warming_endpoints
@@ -100,8 +101,12 @@
     """
     servable = limit_warming_endpoints(state, table, entries)
     share = table.admission_rate
+    had_entries = bool(entries)
     if servable is not None:
         share = min(limit_table(state, table, entries, servable), share)
+    table.endpoints_wait = had_entries and not entries
+    cause = f"endpoints can serve {servable or 0:.2f} of the requests"
+    report_condition(state, f"warming wait {table.zone} {table.number}", table.endpoints_wait, cause)
     lacks_warm = servable is not None and state.settings.admission_mode != "share"
     has_warming = any(is_warming_up(state, state.endpoints[name]) for name in entries)
     may_retry = bool(table.retry_policy) and not has_warming and not lacks_warm
--- a/swiftchute/policy/egress_budget.py
+++ b/swiftchute/policy/egress_budget.py
@@ -25,6 +25,7 @@
 PUSH_QUOTA_FRACTION = 0.6  # of a proxy's message quota for ordinary pushes; the rest is for urgent ones
 MIN_QUEUED_FRACTION = 0.1  # of the queue, ahead of a message whose latency is used to estimate the speed
 MIN_CHANNEL_SPEED_RATIO = 0.15  # lower bound of the estimated speed / nominal speed
+MIN_CHANNEL_SPEED = 1.0  # entries per second; avoids division by zero
 SLOW_CHANNEL_RATIO = 0.5  # speed / nominal speed below which a slow channel is reported to the operators
 SPEED_RECOVERY_FACTOR = 2  # growth of the estimated speed per evaluation without evidence
 STALL_NS = 1 * NS_PER_S  # after it, missing acknowledgements are those of silent proxies
@@ -115,7 +116,7 @@
     def max_delivery_ns(self, state: PolicyState) -> int:
         """Return how long a message that is written now takes to its proxy at most, as far as is known."""
         settings = state.settings
-        speed = settings.egress_rate_entries_per_s * self.channel_speed_ratio
+        speed = max(settings.egress_rate_entries_per_s * self.channel_speed_ratio, MIN_CHANNEL_SPEED)
         return int(self.queued_entries * NS_PER_S / speed) + settings.max_push_delay_ns
 
     def on_egress_queue_observed(self, event: EgressQueueObserved) -> None:
--- a/swiftchute/policy/model.py
+++ b/swiftchute/policy/model.py
@@ -153,6 +153,7 @@
         published: Entries that were last pushed.
         desired_admission: Admission that the rules currently call for, None before the first evaluation.
         published_admission: Admission that was last pushed, None before the first push.
+        endpoints_wait: Whether it is left empty until its endpoints, which are warming up, can serve enough.
         limited_since_ns: Since when a limit by rate has been in force and the table has had no warm endpoint,
             None without such a limit.
         first_change_ns: Time of the first change of `desired` since the last push, None without a change.
@@ -169,6 +170,7 @@
         "admission_rate",
         "desired",
         "desired_admission",
+        "endpoints_wait",
         "first_change_ns",
         "last_change_ns",
         "limited_since_ns",
@@ -196,6 +198,7 @@
         self.published: dict[str, float] = {}
         self.desired_admission: Admission | None = None
         self.published_admission: Admission | None = None
+        self.endpoints_wait = False
         self.limited_since_ns: int | None = None
         self.first_change_ns: int | None = None
         self.last_change_ns = 0
--- a/swiftchute/policy/warming_tables.py
+++ b/swiftchute/policy/warming_tables.py
@@ -62,11 +62,10 @@
     starting = max(min(starting_endpoint_share(state, table), 1.0), MIN_SHARE)
     if not entries:
         return starting
-    if servable >= 1:
-        return 1.0
+    if servable >= MIN_UNLIMITED_SHARE:
+        return min(servable, 1.0)
     unspent = _unspent_share(state, table)
-    max_unspent = servable * (1.0 if table.has_endpoints else MAX_UNSPENT_FRACTION)
-    if servable < MIN_UNLIMITED_SHARE and unspent > max_unspent:
+    if unspent > servable * (1.0 if table.has_endpoints else MAX_UNSPENT_FRACTION):
         entries.clear()
         return min(starting, servable)
     if not table.has_endpoints or _burst_share(state, table) > MAX_BURST_MULTIPLE * servable:
--- a/tests/policy/test_assignment.py
+++ b/tests/policy/test_assignment.py
@@ -1,5 +1,7 @@
 """Assignment of proxies to tables within the egress budget."""
 
+import pytest
+
 from swiftchute.api.endpoints import ListScope
 from swiftchute.api.events import EndpointListUpdate, ProxyConnected
 from tests.support.policy import SlowChannel, list_changes, weights_in
@@ -100,6 +102,16 @@
     assert harness.table("west", zone_local=True).number in tables_assigned(commands, 20)
 
 
+@pytest.mark.parametrize("admission_mode", ["rate", "none"])
+def test_proxy_gets_a_table_whose_endpoints_wait(make_harness, admission_mode):
+    """Guards against tables of an earlier session that send everything to starting endpoints."""
+    harness = make_harness(zones=("east",), admission_mode=admission_mode)
+    harness.run_round(EndpointListUpdate(ListScope.CACHED, [harness.endpoint("e0", age_s=0.5)]))
+    commands = harness.run_round(ProxyConnected(0, "east", 10.0, False), wait_s=0.1)
+    assert harness.table().number in tables_assigned(commands, 0)
+    assert harness.run(1).of("set_weight") == []
+
+
 def test_proxy_keeps_its_tables_while_a_table_of_its_new_subset_is_empty(make_harness):
     """Guards against a migration that leaves a proxy without an endpoint for an operation."""
     harness = make_harness(operations=READ_AND_LOCAL_WRITE, subset_size=2)
--- a/tests/policy/test_extreme_events.py
+++ b/tests/policy/test_extreme_events.py
@@ -56,7 +56,7 @@
     return EndpointListUpdate(draw.choice((ListScope.DELTA, ListScope.DELTA, ListScope.SNAPSHOT)), records)
 
 
-@pytest.mark.parametrize("admission_mode", ["share", "rate"])
+@pytest.mark.parametrize("admission_mode", ["share", "rate", "none"])
 @pytest.mark.parametrize("seed", range(20))
 def test_no_event_makes_the_policy_raise(seed, admission_mode):
     draw = random.Random(seed)
