--- a/tests/observability/test_logging.py
+++ b/tests/observability/test_logging.py
@@ -12,6 +12,8 @@
          {"mode": "cut a:80", "on": True, "errored": 9, "tries": 24, "good_ms": 1840, "usual_ms": 260}),
         ("level north 1: on, 0.60, time 0.71 of the objective",
          {"mode": "level north 1", "on": True, "level": 0.6, "time": 0.71}),
+        ("warming wait north 5: on, endpoints can serve 0.08 of the requests",
+         {"mode": "warming wait north 5", "on": True, "servable": 0.08}),
         ("late push north 5: on, waits for 1.1 s",
          {"mode": "late push north 5", "on": True, "waited_s": 1.1}),
         ("slow channel: on, 0.47 of its usual pace", {"mode": "slow channel", "on": True, "pace": 0.47}),
--- a/tests/safety/test_slow_start.py
+++ b/tests/safety/test_slow_start.py
@@ -18,6 +18,15 @@
     assert violated(verdict) == {"only cold servers"}
 
 
+def test_a_table_left_empty_for_endpoints_that_warm_up_is_filled_and_limited():
+    """A policy without limits leaves it empty until they can serve half of the requests."""
+    statuses = {f"s{k}": status(age=0) for k in range(100)}
+    verdict = validate({1: proposal(demand=1000.0)}, statuses)
+    weights, admission_rate = verdict.tables[1]
+    assert len(weights) == 100
+    assert admission_rate == pytest.approx(100 * 2.5 * 0.2 * 10 / 1000)
+
+
 def test_two_tables_each_safe_alone_and_unsafe_together():
     statuses = {"a": status(), "c": status(age=0)}
     table = proposal(a=1.0, c=1.0, demand=8.0)
