The egress budget releases what the channel has sent to silent proxies

Cause: every entry that a connected proxy has not acknowledged counted as queued. Entries to silent proxies are never acknowledged, so pushes to them used up the one budget. But messages leave the channel in the order of the rounds: the acknowledgement of a round proves that the messages of all earlier rounds have left it.

Change: an acknowledgement releases the entries of all earlier rounds. Their messages stay unacknowledged, since to have left the channel does not mean to be applied: fences of key ranges go by the proxy's own acknowledgement as before. Messages of the same round stay counted, as their order is not known. A nonce that comes round again releases what an earlier use of it left.

--- a/swiftchute/policy/egress_budget.py
+++ b/swiftchute/policy/egress_budget.py
@@ -1,9 +1,13 @@
-"""The egress budget: limits the entries that were written to proxies and not acknowledged by them yet.
+"""The egress budget: limits the entries that were written to proxies and may still be queued in the channel.
 
-Every unacknowledged entry counts as still queued, so a slow channel, a lost acknowledgement or a stopped
-proxy delays pushes. The budget counts what this policy reserved for connected proxies. A frontend may observe
-more entries in the channel: those queued for ended sessions, those written by a policy that has crashed
-since, and those that the frontend added. Neither count may exceed the limit.
+Messages leave the channel in the order of the rounds that wrote them. An acknowledgement therefore proves
+that the channel has sent the messages of all earlier rounds, also those to proxies that are silent. Until
+then every unacknowledged entry counts as queued. That the channel has sent a message does not mean that its
+proxy has applied it: only the proxy's own acknowledgement proves that.
+
+The budget counts what this policy reserved for connected proxies. A frontend may observe more entries: those
+queued for ended sessions, those written by a policy that has crashed since, and those that the frontend
+added. Neither count may exceed the limit.
 """
 
 from collections.abc import Iterable
@@ -29,7 +33,7 @@
 SLOW_CHANNEL_RATIO = 0.5  # speed / nominal speed below which a slow channel is reported to the operators
 SPEED_RECOVERY_FACTOR = 2  # growth of the estimated speed per evaluation without evidence
 STALL_NS = 1 * NS_PER_S  # after it, missing acknowledgements are those of silent proxies
-MAX_TRACKED_NONCES = 2000  # nonces for which the queue length is remembered
+MAX_TRACKED_ROUNDS = 2000  # rounds that are remembered by their nonces
 MAX_NONCE = 60_000  # the next nonce after it is 1
 ACK_REQUEST_ENTRIES = 1  # size of an acknowledgement request within a message
 
@@ -60,11 +64,18 @@
 }
 
 
+class _WrittenRound(NamedTuple):
+    """A round that wrote to proxies."""
+
+    number: int  # counts the rounds that wrote to any proxy
+    queued_entries: float  # in the channel after the round
+
+
 class EgressBudget:
-    """Tracks the entries reserved in this round and those not yet acknowledged by the proxies.
+    """Tracks the entries reserved in this round and those that may still be queued from earlier ones.
 
     Attributes:
-        unacknowledged_entries: Entries written to connected proxies and not acknowledged by them.
+        unsent_entries: Entries reserved for connected proxies that the channel may not have sent yet.
         channel_speed_ratio: Estimated speed of the channel / its nominal speed.
         nonce: Nonce of the last round that wrote to any proxy.
         reserved_entries: Size of this round's message by proxy, in entries.
@@ -72,20 +83,22 @@
 
     def __init__(self) -> None:
         """Create the budget of an empty channel that is assumed to run at nominal speed."""
-        self.unacknowledged_entries: float = 0
+        self.unsent_entries: float = 0
         self.channel_speed_ratio = 1.0
         self.nonce = 0
         self.reserved_entries: dict[ProxyId, float] = {}
-        self._additional_entries: float = 0  # observed in the channel beyond `unacknowledged_entries`
+        self._additional_entries: float = 0  # observed beyond `unsent_entries`
         self._max_observed_ratio = 0.0  # highest speed / nominal speed since the last evaluation
-        self._queued_entries_at_nonce: dict[int, float] = {}
+        self._rounds: dict[int, _WrittenRound] = {}  # by nonce, in order
+        self._round_number = 0  # of the last round that wrote to any proxy
+        self._acknowledged_round = 0  # the newest one that any proxy has acknowledged
         self._turns = ChannelTurns()
         self._moved_at_ns = 0  # when entries last left the channel, or came into the empty one
 
     @property
     def queued_entries(self) -> float:
         """Entries that may be queued in the channel, reserved by this policy or not."""
-        return self.unacknowledged_entries + self._additional_entries
+        return self.unsent_entries + self._additional_entries
 
     @property
     def next_nonce(self) -> int:
@@ -99,20 +112,45 @@
         self._turns.begin_round()
 
     def release(self, proxy: Proxy) -> None:
-        """Release the unacknowledged entries of a disconnected proxy."""
-        self.unacknowledged_entries -= sum(proxy.unacknowledged_entries.values())
+        """Release the entries of a disconnected proxy."""
+        for nonce, entries in proxy.unacknowledged_entries.items():
+            self.unsent_entries -= entries
+            proxy.unacknowledged_entries[nonce] = 0
 
     def on_push_acknowledged(self, state: PolicyState, event: PushAcknowledged) -> None:
-        """Release the entries of a message and of all earlier ones to the same proxy."""
+        """Release the entries of a message, of all earlier ones to the proxy, and of all earlier rounds."""
         proxy = state.proxies.get(event.proxy)
         if proxy is None or event.nonce not in proxy.unacknowledged_entries:
             return
         self._observe_speed(state, event)
         pending = proxy.unacknowledged_entries
         while event.nonce in pending:
-            self.unacknowledged_entries -= pending.pop(next(iter(pending)))
+            self.unsent_entries -= pending.pop(next(iter(pending)))
+        self._release_rounds_before(state, event.nonce)
         self._moved_at_ns = state.now_ns
 
+    def _release_rounds_before(self, state: PolicyState, nonce: int) -> None:
+        """Release the entries of the rounds before an acknowledged one: the channel has sent them.
+
+        Messages of the same round stay, because their order in the channel is not known.
+        """
+        acknowledged = self._round_number_of(nonce)
+        if acknowledged <= self._acknowledged_round:
+            return
+        self._acknowledged_round = acknowledged
+        for proxy in state.proxies.values():
+            pending = proxy.unacknowledged_entries
+            for earlier, entries in pending.items():
+                if self._round_number_of(earlier) >= acknowledged:
+                    break
+                self.unsent_entries -= entries
+                pending[earlier] = 0
+
+    def _round_number_of(self, nonce: int) -> int:
+        """Return the number of the round with a nonce, 0 for one that is no longer remembered."""
+        written = self._rounds.get(nonce)
+        return 0 if written is None else written.number
+
     def max_delivery_ns(self, state: PolicyState) -> int:
         """Return how long a message that is written now takes to its proxy at most, as far as is known."""
         settings = state.settings
@@ -120,8 +158,8 @@
         return int(self.queued_entries * NS_PER_S / speed) + settings.max_push_delay_ns
 
     def on_egress_queue_observed(self, event: EgressQueueObserved) -> None:
-        """Record how many entries the channel holds beyond the unacknowledged ones."""
-        self._additional_entries = max(event.entries - self.unacknowledged_entries, 0)
+        """Record how many entries may be in the channel beyond those that this policy counts."""
+        self._additional_entries = max(event.entries - self.unsent_entries, 0)
 
     def update_channel_speed(self, state: PolicyState) -> None:
         """Move the estimated speed halfway to the speed that acknowledgements showed since the last call.
@@ -152,8 +190,7 @@
             kind: What they are for; it decides how much of the channel and of the quotas may be used.
             messages: How many messages to each proxy the quotas must have room for, this one included.
         """
-        overhead = state.settings.message_overhead_entries + ACK_REQUEST_ENTRIES
-        costs = {p: entries + (0 if p in self.reserved_entries else overhead) for p in proxies}
+        costs = {proxy: self._cost(state, proxy, entries) for proxy in proxies}
         total_cost = sum(costs.values())
         reservation = self._check(state, costs, total_cost, kind, messages)
         if reservation is Reservation.CHANNEL_FULL:
@@ -161,13 +198,19 @@
         if reservation is not Reservation.GRANTED:
             return reservation
         self._turns.on_reserved(kind, total_cost)
-        if not self.unacknowledged_entries:
+        if not self.unsent_entries:
             self._moved_at_ns = state.now_ns
         for proxy, cost in costs.items():
             self.reserved_entries[proxy] = self.reserved_entries.get(proxy, 0) + cost
-            self.unacknowledged_entries += cost
+            self.unsent_entries += cost
         return reservation
 
+    def _cost(self, state: PolicyState, proxy: ProxyId, entries: int) -> float:
+        """Return what a number of entries to a proxy costs; the first of a round need a message."""
+        if proxy in self.reserved_entries:
+            return entries
+        return entries + state.settings.message_overhead_entries + ACK_REQUEST_ENTRIES
+
     def _check(
         self, state: PolicyState, proxies: Iterable[ProxyId], cost: float, kind: PushKind, messages: int
     ) -> Reservation:
@@ -192,18 +235,25 @@
             return
         self.nonce = self.next_nonce
         state.commands.request_ack(self.nonce, False)
-        self._queued_entries_at_nonce[self.nonce] = self.queued_entries
-        if len(self._queued_entries_at_nonce) > MAX_TRACKED_NONCES:
-            del self._queued_entries_at_nonce[next(iter(self._queued_entries_at_nonce))]
+        self._round_number += 1
+        self._rounds[self.nonce] = _WrittenRound(self._round_number, self.queued_entries)
+        if len(self._rounds) > MAX_TRACKED_ROUNDS:
+            del self._rounds[next(iter(self._rounds))]
         for name, entries in self.reserved_entries.items():
-            proxy = state.proxies[name]
-            proxy.message_times_ns.append(state.now_ns)
-            proxy.unacknowledged_entries[self.nonce] = entries
+            self._record_message(state.proxies[name], entries, state.now_ns)
+
+    def _record_message(self, proxy: Proxy, entries: float, now_ns: int) -> None:
+        """Record the message of this round to a proxy."""
+        proxy.message_times_ns.append(now_ns)
+        # the nonce has come round again if the proxy has acknowledged nothing since
+        self.unsent_entries -= proxy.unacknowledged_entries.pop(self.nonce, 0)
+        proxy.unacknowledged_entries[self.nonce] = entries
 
     def _observe_speed(self, state: PolicyState, event: PushAcknowledged) -> None:
         """Estimate the speed: time of the queued entries at nominal speed / acknowledgement latency."""
         settings = state.settings
-        queued = self._queued_entries_at_nonce.get(event.nonce, 0)
+        written = self._rounds.get(event.nonce)
+        queued = 0 if written is None else written.queued_entries
         if queued > MIN_QUEUED_FRACTION * settings.egress_queue_limit_entries:
             nominal_ns = queued * NS_PER_S / settings.egress_rate_entries_per_s
             latency_ns = max(event.latency_ns - settings.max_push_delay_ns, nominal_ns)
@@ -217,7 +267,7 @@
         """
         limit = state.settings.egress_queue_limit_entries
         own_limit = threshold * limit
-        own_entries = self.unacknowledged_entries
+        own_entries = self.unsent_entries
         if own_entries + cost > own_limit or own_entries > self.channel_speed_ratio * own_limit:
             return False
         return self.queued_entries + cost <= QUEUE_THRESHOLD * limit
--- a/swiftchute/policy/model.py
+++ b/swiftchute/policy/model.py
@@ -111,7 +111,8 @@
         unassigned: Whether it waits for an assignment; until then a migrating proxy keeps its old tables.
         assigned_at_ns: When it received its tables, as far as is known; None before the first assignment.
         message_times_ns: Times at which messages were written to it.
-        unacknowledged_entries: Entries of each unacknowledged message, by nonce.
+        unacknowledged_entries: Entries of each unacknowledged message, by nonce; 0 once the channel has sent
+            the message.
         demand: Latest demand reports by operation.
     """
 
--- a/tests/policy/test_egress_budget.py
+++ b/tests/policy/test_egress_budget.py
@@ -25,11 +25,11 @@
     """In a channel slower than configured, entries are queued longer than its nominal rate implies."""
     started.run(1)
     started.state.proxies[0].unacknowledged_entries = {4: 400, 5: 590}
-    started.budget.unacknowledged_entries = 1000
+    started.budget.unsent_entries = 1000
     started.state.endpoints["e0"].health_weight = 0.6
     assert started.run(5, CALM, acknowledge=False).of("set_weight") == []
     assert started.run_round(PushAcknowledged(0, 5, NS_PER_S)).of("set_weight")
-    assert started.budget.unacknowledged_entries < 100
+    assert started.budget.unsent_entries < 100
 
 
 def test_entries_for_the_old_subset_of_a_migrating_proxy_are_reserved(started):
@@ -64,7 +64,7 @@
                 for k, name in enumerate(names)
             ]
             channel.run_round(*reports if step % 10 == 0 else (), wait_s=0.05)
-            depths.append(harness.budget.unacknowledged_entries)
+            depths.append(harness.budget.unsent_entries)
         max_depths[speed], speeds[speed] = max(depths[200:]), harness.budget.channel_speed_ratio
     assert speeds[4100.0] == pytest.approx(1, abs=0.01)
     assert 0.15 < speeds[800.0] < 0.5
