The egress budget releases entries only when their acknowledgements are overdue

Cause: released the entries of all earlier rounds with the first acknowledgement of a later one, also of proxies that acknowledge a moment later.

Change: the entries are released once the longest push delay and half a second have passed since that acknowledgement. A proxy that is still silent then is taken for silent; for all others nothing changes.

Without the release three tests of test_sent_rounds.py fail.

--- a/swiftchute/policy/egress_budget.py
+++ b/swiftchute/policy/egress_budget.py
@@ -1,25 +1,28 @@
 """The egress budget: limits the entries that were written to proxies and may still be queued in the channel.
 
 Messages leave the channel in the order of the rounds that wrote them. An acknowledgement therefore proves
-that the channel has sent the messages of all earlier rounds, also those to proxies that are silent. Until
-then every unacknowledged entry counts as queued. That the channel has sent a message does not mean that its
-proxy has applied it: only the proxy's own acknowledgement proves that.
+that the channel has sent the messages of all earlier rounds. A proxy that does not acknowledge these in time
+either is silent, and its entries are released. Every other unacknowledged entry counts as queued. That the
+channel has sent a message does not mean that its proxy has applied it: only the proxy's own acknowledgement
+proves that.
 
 The budget counts what this policy reserved for connected proxies. A frontend may observe more entries: those
 queued for ended sessions, those written by a policy that has crashed since, and those that the frontend
 added. Neither count may exceed the limit.
 """
 
+from collections import deque
 from collections.abc import Iterable
 from enum import Enum, auto
 from typing import NamedTuple
 
 from swiftchute.api.events import EgressQueueObserved, ProxyId, PushAcknowledged
+from swiftchute.api.settings import Settings
 from swiftchute.policy.channel_turns import ChannelTurns, PushKind
 from swiftchute.policy.conditions import report_condition
 from swiftchute.policy.model import Proxy
 from swiftchute.policy.state import PolicyState
-from swiftchute.policy.units import NS_PER_S
+from swiftchute.policy.units import NS_PER_MS, NS_PER_S
 
 # Fractions of the egress queue limit up to which the queue may be filled.
 PUSH_THRESHOLD = 0.5  # by ordinary pushes and assignments
@@ -33,6 +36,7 @@
 SLOW_CHANNEL_RATIO = 0.5  # speed / nominal speed below which a slow channel is reported to the operators
 SPEED_RECOVERY_FACTOR = 2  # growth of the estimated speed per evaluation without evidence
 STALL_NS = 1 * NS_PER_S  # after it, missing acknowledgements are those of silent proxies
+ACK_MARGIN_NS = 500 * NS_PER_MS  # for an acknowledgement, after the longest delay of its message
 MAX_TRACKED_ROUNDS = 2000  # rounds that are remembered by their nonces
 MAX_NONCE = 60_000  # the next nonce after it is 1
 ACK_REQUEST_ENTRIES = 1  # size of an acknowledgement request within a message
@@ -71,6 +75,18 @@
     queued_entries: float  # in the channel after the round
 
 
+class _AcknowledgedRound(NamedTuple):
+    """A round that was newer than all rounds acknowledged before it."""
+
+    number: int
+    earlier_overdue_at_ns: int  # when acknowledgements of all earlier rounds are overdue
+
+
+def acknowledgement_timeout_ns(settings: Settings) -> int:
+    """Return how long after the channel has sent a message its acknowledgement is overdue."""
+    return settings.max_push_delay_ns + ACK_MARGIN_NS
+
+
 class EgressBudget:
     """Tracks the entries reserved in this round and those that may still be queued from earlier ones.
 
@@ -91,7 +107,8 @@
         self._max_observed_ratio = 0.0  # highest speed / nominal speed since the last evaluation
         self._rounds: dict[int, _WrittenRound] = {}  # by nonce, in order
         self._round_number = 0  # of the last round that wrote to any proxy
-        self._acknowledged_round = 0  # the newest one that any proxy has acknowledged
+        self._acknowledged_rounds: deque[_AcknowledgedRound] = deque()  # whose earlier ones are not overdue
+        self._newest_acknowledged_round = 0
         self._turns = ChannelTurns()
         self._moved_at_ns = 0  # when entries last left the channel, or came into the empty one
 
@@ -105,11 +122,18 @@
         """Nonce of the current round if it writes to any proxy."""
         return self.nonce % MAX_NONCE + 1
 
-    def begin_round(self) -> None:
-        """Start a round without any reservation."""
+    def begin_round(self, state: PolicyState) -> None:
+        """Start a round without any reservation, and release the entries of silent proxies."""
         self.reserved_entries = {}
         self._additional_entries = 0
         self._turns.begin_round()
+        overdue_before = 0
+        while (
+            self._acknowledged_rounds and self._acknowledged_rounds[0].earlier_overdue_at_ns <= state.now_ns
+        ):
+            overdue_before = self._acknowledged_rounds.popleft().number
+        if overdue_before:
+            self._release_rounds_before(state, overdue_before)
 
     def release(self, proxy: Proxy) -> None:
         """Release the entries of a disconnected proxy."""
@@ -118,7 +142,7 @@
             proxy.unacknowledged_entries[nonce] = 0
 
     def on_push_acknowledged(self, state: PolicyState, event: PushAcknowledged) -> None:
-        """Release the entries of a message, of all earlier ones to the proxy, and of all earlier rounds."""
+        """Release the entries of a message and of all earlier ones to the same proxy."""
         proxy = state.proxies.get(event.proxy)
         if proxy is None or event.nonce not in proxy.unacknowledged_entries:
             return
@@ -126,25 +150,25 @@
         pending = proxy.unacknowledged_entries
         while event.nonce in pending:
             self.unsent_entries -= pending.pop(next(iter(pending)))
-        self._release_rounds_before(state, event.nonce)
         self._moved_at_ns = state.now_ns
+        acknowledged = self._round_number_of(event.nonce)
+        if acknowledged > self._newest_acknowledged_round:
+            self._newest_acknowledged_round = acknowledged
+            overdue_at_ns = state.now_ns + acknowledgement_timeout_ns(state.settings)
+            self._acknowledged_rounds.append(_AcknowledgedRound(acknowledged, overdue_at_ns))
 
-    def _release_rounds_before(self, state: PolicyState, nonce: int) -> None:
-        """Release the entries of the rounds before an acknowledged one: the channel has sent them.
+    def _release_rounds_before(self, state: PolicyState, number: int) -> None:
+        """Release the unacknowledged entries of the rounds before one: the channel has sent them.
 
         Messages of the same round stay, because their order in the channel is not known.
         """
-        acknowledged = self._round_number_of(nonce)
-        if acknowledged <= self._acknowledged_round:
-            return
-        self._acknowledged_round = acknowledged
         for proxy in state.proxies.values():
             pending = proxy.unacknowledged_entries
-            for earlier, entries in pending.items():
-                if self._round_number_of(earlier) >= acknowledged:
+            for nonce, entries in pending.items():
+                if self._round_number_of(nonce) >= number:
                     break
                 self.unsent_entries -= entries
-                pending[earlier] = 0
+                pending[nonce] = 0
 
     def _round_number_of(self, nonce: int) -> int:
         """Return the number of the round with a nonce, 0 for one that is no longer remembered."""
--- a/swiftchute/policy/reconciler.py
+++ b/swiftchute/policy/reconciler.py
@@ -82,7 +82,7 @@
             commands: Receives the commands of the round, in order.
         """
         self.state.now_ns, self.state.commands = now_ns, commands
-        self.budget.begin_round()
+        self.budget.begin_round(self.state)
         for event in events:
             self._handlers[type(event)](event)
         self.endpoint_list.subscribe_if_due(self.state)
