Silent proxies are held back, and delay no push to the others

Cause: the policy and the ledger counted what silent streams do not acknowledge as queued until the idle timeout ended them.

Why it works: what lies unread enters the channel at once when silent streams read on, so it cannot be forgotten, but it no longer grows, and it no longer uses what urgent pushes of the others may fill.

--- a/swiftchute/policy/egress_budget.py
+++ b/swiftchute/policy/egress_budget.py
@@ -7,8 +7,8 @@
 proves that.
 
 The budget counts what this policy reserved for connected proxies. A frontend may observe more entries: those
-queued for ended sessions, those written by a policy that has crashed since, and those that the frontend
-added. Neither count may exceed the limit.
+queued for ended sessions, those written by a policy that has crashed since, those that the frontend added,
+and those that silent proxies have not read. Neither count may exceed the limit.
 """
 
 from collections import deque
@@ -16,7 +16,7 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from swiftchute.api.events import EgressQueueObserved, ProxyId, PushAcknowledged
+from swiftchute.api.events import EgressQueueObserved, ProxyDeliveryChanged, ProxyId, PushAcknowledged
 from swiftchute.api.settings import Settings
 from swiftchute.policy.channel_turns import ChannelTurns, PushKind
 from swiftchute.policy.conditions import report_condition
@@ -136,11 +136,25 @@
             self._release_rounds_before(state, overdue_before)
 
     def release(self, proxy: Proxy) -> None:
-        """Release the entries of a disconnected proxy."""
+        """Release the entries of a proxy that disconnected or that is not written to any more.
+
+        Its messages remain unacknowledged.
+        """
         for nonce, entries in proxy.unacknowledged_entries.items():
             self.unsent_entries -= entries
             proxy.unacknowledged_entries[nonce] = 0
 
+    def on_delivery_changed(self, state: PolicyState, event: ProxyDeliveryChanged) -> None:
+        """Reserve nothing for a proxy whose messages the frontend holds back; it gets them afterwards."""
+        proxy = state.proxies.get(event.proxy)
+        if proxy is None:
+            return
+        proxy.delivery_paused = event.paused
+        if event.paused:
+            self.release(proxy)
+        elif proxy.assigned_at_ns is not None:
+            proxy.assigned_at_ns = state.now_ns + self.max_delivery_ns(state)
+
     def on_push_acknowledged(self, state: PolicyState, event: PushAcknowledged) -> None:
         """Release the entries of a message and of all earlier ones to the same proxy."""
         proxy = state.proxies.get(event.proxy)
@@ -231,6 +245,8 @@
 
     def _cost(self, state: PolicyState, proxy: ProxyId, entries: int) -> float:
         """Return what a number of entries to a proxy costs; the first of a round need a message."""
+        if state.proxies[proxy].delivery_paused:
+            return 0
         if proxy in self.reserved_entries:
             return entries
         return entries + state.settings.message_overhead_entries + ACK_REQUEST_ENTRIES
@@ -268,7 +284,8 @@
 
     def _record_message(self, proxy: Proxy, entries: float, now_ns: int) -> None:
         """Record the message of this round to a proxy."""
-        proxy.message_times_ns.append(now_ns)
+        if not proxy.delivery_paused:
+            proxy.message_times_ns.append(now_ns)
         # the nonce has come round again if the proxy has acknowledged nothing since
         self.unsent_entries -= proxy.unacknowledged_entries.pop(self.nonce, 0)
         proxy.unacknowledged_entries[self.nonce] = entries
@@ -308,9 +325,10 @@
             return True
         limit = quota_fraction * settings.message_quota - 1  # one message of that part stays unused
         for name in proxies:
-            if messages == 1 and name in self.reserved_entries:
+            proxy = state.proxies[name]
+            if proxy.delivery_paused or (messages == 1 and name in self.reserved_entries):
                 continue
-            times_ns = state.proxies[name].message_times_ns
+            times_ns = proxy.message_times_ns
             while times_ns and state.now_ns - times_ns[0] > settings.message_quota_window_ns:
                 times_ns.popleft()
             if len(times_ns) + messages > limit:
--- a/tests/policy/test_sent_rounds.py
+++ b/tests/policy/test_sent_rounds.py
@@ -7,6 +7,7 @@
 from swiftchute.api.events import (
     EgressQueueObserved,
     ProxyConnected,
+    ProxyDeliveryChanged,
     ProxyDisconnected,
     PushAcknowledged,
 )
@@ -95,6 +96,41 @@
     assert weights_in(harness.run_round(wait_s=0.3), harness.table())["e2"] == 0
 
 
+def test_nothing_is_reserved_for_a_proxy_whose_messages_are_held_back(harness):
+    """Guards against a budget that is used up by messages which are not written."""
+    harness.run_round(ProxyDeliveryChanged(3, paused=True))
+    messages = len(harness.state.proxies[3].message_times_ns)
+    drain(harness, "e0")
+    per_message = harness.budget.unsent_entries / 3
+    assert harness.budget.unsent_entries == pending_entries(harness)
+    assert len(harness.state.proxies[3].message_times_ns) == messages
+    drain(harness, "e1", ProxyDeliveryChanged(2, paused=True), ProxyDeliveryChanged(3, paused=False))
+    assert harness.budget.unsent_entries == 2 * 2 * per_message + per_message
+    harness.run_round(*[ProxyDisconnected(proxy) for proxy in range(4)], ProxyDeliveryChanged(3, True))
+    assert harness.budget.unsent_entries == 0
+
+
+def test_proxy_has_its_tables_only_once_its_messages_are_no_longer_held_back(harness):
+    """Guards against a limit that counts as in force at a proxy which has not heard of it."""
+    assigned_at_ns = harness.state.proxies[3].assigned_at_ns
+    harness.run_round(ProxyDeliveryChanged(3, paused=True))
+    assert harness.state.proxies[3].assigned_at_ns == assigned_at_ns
+    harness.run_round(ProxyDeliveryChanged(3, paused=False), wait_s=9)
+    assert harness.state.proxies[3].assigned_at_ns > harness.now
+
+
+def test_quota_of_a_proxy_whose_messages_are_held_back_delays_no_push(make_harness):
+    """Guards against a drain that waits for the quota of a proxy which is not written to."""
+    harness = make_harness(message_quota=4)
+    harness.start(east=8, west=0, proxies=("east",) * 4)
+    harness.run(12)
+    harness.state.proxies[3].message_times_ns.extend([harness.now] * 4)
+    change = list_changes([harness.endpoint("e0", state="draining")])
+    assert weights_in(harness.run_round(change), harness.table()) == {}
+    commands = harness.run_round(ProxyDeliveryChanged(3, paused=True))
+    assert weights_in(commands, harness.table())["e0"] == 0
+
+
 def test_nonces_that_come_round_again_release_what_an_earlier_use_left(harness, monkeypatch):
     """Guards against entries that are never released, as their nonce names a newer round."""
     monkeypatch.setattr(egress_budget, "MAX_NONCE", harness.budget.nonce + 1)
@@ -124,6 +160,7 @@
             events.append(
                 draw.choice(
                     [ProxyDisconnected(proxy), ProxyConnected(proxy, "east", 10.0, False)]
+                    + [ProxyDeliveryChanged(proxy, paused) for paused in (False, True)]
                     + [PushAcknowledged(proxy, nonce, NS_PER_S // 10) for nonce in pending] * 3
                 )
             )
