--- a/swiftchute/policy/egress_budget.py
+++ b/swiftchute/policy/egress_budget.py
@@ -8,7 +8,8 @@
 
 The budget counts what this policy reserved for connected proxies. A frontend may observe more entries: those
 queued for ended sessions, those written by a policy that has crashed since, those that the frontend added,
-and those that silent proxies have not read. Neither count may exceed the limit.
+and those that silent proxies have not read. Neither count may exceed the limit, except for a single push that
+does not fit beside unread entries: the frontend, which keeps the limit, writes it in parts.
 """
 
 from collections import deque
