--- a/swiftchute/platform/egress_ledger.py
+++ b/swiftchute/platform/egress_ledger.py
@@ -5,10 +5,6 @@
 proxy acknowledges it or a later one. Unacknowledged messages of an ended session stay in the queue, so they
 stay counted until a message that was written later is acknowledged (messages leave the queue in the order in
 which they were written), or until even the slowest channel would have sent them.
-
-A message enters the queue once its proxy has read it. What a silent proxy had not read when its session ended
-may have been read just before. It counts as written then, and as sent once the channel at its nominal speed
-would have sent it: it holds up all others, and is most likely not in the queue.
 """
 
 import math
@@ -58,7 +54,6 @@
         """Start with an empty egress queue."""
         self._limit_entries = int(settings.egress_queue_limit_entries)
         self._overhead_entries = math.ceil(settings.message_overhead_entries)
-        self._nominal_rate_per_s = settings.egress_rate_entries_per_s
         self._slowest_rate_per_s = MIN_CHANNEL_SPEED_RATIO * settings.egress_rate_entries_per_s
         self._round_number = 0
         self._round_started_ns = 0
@@ -178,11 +173,7 @@
         entries = sum(message.cost_entries for message in messages)
         self.ended_entries += entries
         for message in messages:
-            if message.round_number < self.acknowledged_rounds.newest:
-                latest_send_ns = self._latest_send_ns(self._nominal_rate_per_s)
-                self._add_unsettled(self._round_number, message.cost_entries, latest_send_ns)
-            else:
-                self._add_unsettled(message.round_number, message.cost_entries, message.latest_send_ns)
+            self._add_unsettled(message.round_number, message.cost_entries, message.latest_send_ns)
         return entries
 
     def _latest_send_ns(self, rate_per_s: float) -> int:
