--- a/swiftchute/api/events.py
+++ b/swiftchute/api/events.py
@@ -84,7 +84,6 @@
     """Upper bound of the entries queued in the channel at the start of a round, for any proxy and writer."""
 
     entries: int  # including the overhead of each message
-    unread_entries: int = 0  # of these, what paused proxies have not read: the channel does not hold it yet
 
 
 class TimerFired(Event, frozen=True):
--- a/swiftchute/controller/policy_runner.py
+++ b/swiftchute/controller/policy_runner.py
@@ -104,7 +104,6 @@
         self.crash_times: deque[int] = deque(maxlen=MAX_CRASHES_IN_WINDOW)
         self.restart_at_ns: int | None = None  # set from a crash until the restart
         self.queued_entries = 0  # in the channel; set by a frontend that counts what it writes
-        self.unread_entries = 0  # of these, by paused proxies
         self.last_round_ns = now
         self.counters = RunnerCounters()
         self.event_log = EventLog()
@@ -201,7 +200,7 @@
         assert self.policy is not None
         events, self.pending_events = self.pending_events, []
         if self.queued_entries:  # last: the policy compares it with its own count after the other events
-            events.append(EgressQueueObserved(self.queued_entries, self.unread_entries))
+            events.append(EgressQueueObserved(self.queued_entries))
         self.counters.rounds += 1
         try:
             self.policy.reconcile(now, events, self.assignments)
--- a/swiftchute/platform/egress_ledger.py
+++ b/swiftchute/platform/egress_ledger.py
@@ -118,8 +118,8 @@
         """Add the entries that the policy commanded in a round, given per proxy."""
         self.commanded_entries += sum(entries)
 
-    def record_message(self, session: ProxySession, nonce: int | None, entries: int) -> int:
-        """Record a message that is being written; return its entries including the overhead.
+    def record_message(self, session: ProxySession, nonce: int | None, entries: int) -> None:
+        """Record a message that is being written.
 
         Args:
             session: The session that it is written to.
@@ -130,21 +130,13 @@
         self.written_entries += entries
         self.in_flight_entries += cost
         self.max_total_entries = max(self.max_total_entries, self.total_entries)
-        message = WrittenMessage(
-            nonce,
-            self._round_number,
-            cost,
-            self._round_started_ns,
-            self._latest_send_ns(self._slowest_rate_per_s),
-        )
+        longest_wait_ns = int(self.total_entries / self._slowest_rate_per_s * NS_PER_S)
+        # the ledger has no clock, so the start of the round is used as the time of writing
+        written_ns = self._round_started_ns
+        message = WrittenMessage(nonce, self._round_number, cost, written_ns, written_ns + longest_wait_ns)
         self._messages.setdefault(session, deque()).append(message)
         in_round = self._in_flight_by_round.get(self._round_number, 0)
         self._in_flight_by_round[self._round_number] = in_round + cost
-        return cost
-
-    def session_entries(self, session: ProxySession) -> int:
-        """Return the entries of the messages that an open session has not acknowledged."""
-        return sum(message.cost_entries for message in self._messages.get(session, ()))
 
     def oldest_unacknowledged(self, session: ProxySession) -> WrittenMessage | None:
         """Return the oldest message whose acknowledgement is pending, None if there is none."""
@@ -170,22 +162,13 @@
         messages = self._messages.pop(session, ())
         for message in messages:
             self._remove_in_flight(message)
+            unsettled = self._unsettled.setdefault(message.round_number, UnsettledRound())
+            unsettled.cost_entries += message.cost_entries
+            unsettled.latest_send_ns = max(unsettled.latest_send_ns, message.latest_send_ns)
         entries = sum(message.cost_entries for message in messages)
         self.ended_entries += entries
-        for message in messages:
-            self._add_unsettled(message.round_number, message.cost_entries, message.latest_send_ns)
         return entries
 
-    def _latest_send_ns(self, rate_per_s: float) -> int:
-        """Return when a channel of this speed will have sent all that is queued now."""
-        # the ledger has no clock, so the start of the round is used as the current time
-        return self._round_started_ns + int(self.total_entries / rate_per_s * NS_PER_S)
-
-    def _add_unsettled(self, round_number: int, cost_entries: int, latest_send_ns: int) -> None:
-        unsettled = self._unsettled.setdefault(round_number, UnsettledRound())
-        unsettled.cost_entries += cost_entries
-        unsettled.latest_send_ns = max(unsettled.latest_send_ns, latest_send_ns)
-
     def _remove_in_flight(self, message: WrittenMessage) -> None:
         self.in_flight_entries -= message.cost_entries
         self._in_flight_by_round[message.round_number] -= message.cost_entries
--- a/swiftchute/platform/push_delivery.py
+++ b/swiftchute/platform/push_delivery.py
@@ -157,8 +157,8 @@
             return b""
         if message.data:
             self._statistics.nonces_lost += session.record_push(len(message.data), nonce, now_ns)
-            cost_entries = self._ledger.record_message(session, nonce, message.entry_count)
-            self._pauses.on_written(proxy, cost_entries, now_ns)
+            self._ledger.record_message(session, nonce, message.entry_count)
+            self._pauses.on_written(proxy, now_ns)
             self._statistics.messages += 1
             self._statistics.entries += message.entry_count
             self._statistics.bytes += len(message.data)
--- a/swiftchute/platform/session_manager.py
+++ b/swiftchute/platform/session_manager.py
@@ -260,9 +260,8 @@
     def run_round(self, now_ns: int) -> Iterator[Delivery]:
         """Run a round of the policy and yield the messages to write now."""
         self.ledger.begin_round(now_ns)
-        self.pauses.begin_round(now_ns)
+        self.pauses.check(now_ns)
         self.runner.queued_entries = self.ledger.total_entries
-        self.runner.unread_entries = self.pauses.unread_entries(now_ns)
         result = self.runner.run_round(now_ns)
         if self.runner.assignments is not self.encoder.assignments:  # the policy was restarted after a crash
             self._on_policy_restart()
--- a/swiftchute/policy/egress_budget.py
+++ b/swiftchute/policy/egress_budget.py
@@ -30,7 +30,6 @@
 DRAIN_NOTICE_THRESHOLD = 0.7  # by assignments and ejections due to drains; drains in tables may exceed it
 URGENT_THRESHOLD = 0.9  # by urgent table entries
 QUEUE_THRESHOLD = 0.95  # by all queued entries; the rest is for entries that a frontend adds
-NEARLY_EMPTY_THRESHOLD = 0.1  # up to which a push may exceed the room that unread entries leave
 PUSH_QUOTA_FRACTION = 0.6  # of a proxy's message quota for ordinary pushes; the rest is for urgent ones
 MIN_QUEUED_FRACTION = 0.1  # of the queue, ahead of a message whose latency is used to estimate the speed
 MIN_CHANNEL_SPEED_RATIO = 0.15  # lower bound of the estimated speed / nominal speed
@@ -105,8 +104,7 @@
         self.channel_speed_ratio = 1.0
         self.nonce = 0
         self.reserved_entries: dict[ProxyId, float] = {}
-        self._additional_entries: float = 0  # observed beyond `unsent_entries`, without unread ones
-        self._unread_entries: float = 0  # observed, by paused proxies
+        self._additional_entries: float = 0  # observed beyond `unsent_entries`
         self._max_observed_ratio = 0.0  # highest speed / nominal speed since the last evaluation
         self._rounds: dict[int, _WrittenRound] = {}  # by nonce, in order
         self._round_number = 0  # of the last round that wrote to any proxy
@@ -128,7 +126,7 @@
     def begin_round(self, state: PolicyState) -> None:
         """Start a round without any reservation, and release the entries of silent proxies."""
         self.reserved_entries = {}
-        self._additional_entries = self._unread_entries = 0
+        self._additional_entries = 0
         self._turns.begin_round()
         overdue_before = 0
         while (
@@ -200,8 +198,7 @@
 
     def on_egress_queue_observed(self, event: EgressQueueObserved) -> None:
         """Record how many entries may be in the channel beyond those that this policy counts."""
-        self._unread_entries = event.unread_entries
-        self._additional_entries = max(event.entries - event.unread_entries - self.unsent_entries, 0)
+        self._additional_entries = max(event.entries - self.unsent_entries, 0)
 
     def update_channel_speed(self, state: PolicyState) -> None:
         """Move the estimated speed halfway to the speed that acknowledgements showed since the last call.
@@ -308,17 +305,14 @@
         """Return whether the queue has room for `cost` more entries.
 
         On a slow channel the queue must be below its limit times the speed ratio: a drain queued behind more
-        entries would be late. Where entries that silent proxies have not read leave too little room for a
-        push, it may use the queue once little else is queued: the frontend writes it in parts.
+        entries would be late.
         """
         limit = state.settings.egress_queue_limit_entries
         own_limit = threshold * limit
         own_entries = self.unsent_entries
         if own_entries + cost > own_limit or own_entries > self.channel_speed_ratio * own_limit:
             return False
-        if self.queued_entries + self._unread_entries + cost <= QUEUE_THRESHOLD * limit:
-            return True
-        return bool(self._unread_entries) and self.queued_entries <= NEARLY_EMPTY_THRESHOLD * limit
+        return self.queued_entries + cost <= QUEUE_THRESHOLD * limit
 
     def _quotas_allow(
         self, state: PolicyState, proxies: Iterable[ProxyId], quota_fraction: float, messages: int
